--- a/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/exchange/EventSplitter.java
+++ b/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/exchange/EventSplitter.java
@@ -78,7 +78,7 @@
             }
             boolean isBlankLine =
                     bytes[end - 2] == '\n'
-                            || (end > 2 && bytes[end - 2] == '\r' && bytes[end - 3] == '\n');
+                            || (end > 2 && bytes[end - 2] == '\r' && bytes[end - 1 - 2] == '\n');
             if (isBlankLine) {
                 return end;
             }
--- a/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/link/Addresses.java
+++ b/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/link/Addresses.java
@@ -55,6 +55,7 @@
      * @param maximum The largest value.
      * @param address The whole address, for the error.
      * @return The number.
+     * @throws IllegalArgumentException If the number is malformed or out of range.
      */
     private static int number(String text, int maximum, String address) {
         int number;
