Let instances exchange what they believe and carry

Cause: an instance that the store turns away learns neither a new table nor a leaving endpoint, and each instance sees only its own twentieth of the load. Ruled out: the existing peer channel here; it needs a shared secret that the platform does not give, and databind, which costs memory on every instance.

--- a/chicorytrestle-core/src/main/java/io/chicorytrestle/core/placement/LoadBook.java
+++ b/chicorytrestle-core/src/main/java/io/chicorytrestle/core/placement/LoadBook.java
@@ -24,6 +24,19 @@
     /** The counts by peer. */
     private final Map<String, PeerCounts> peers = new HashMap<>();
 
+    /** The peers of which counts would be known if all were heard. */
+    private int expectedPeers;
+
+    /**
+     * Sets how many peers there are, so that the counts of those that were not heard lately are
+     * estimated from the others.
+     *
+     * @param peers The number of peers.
+     */
+    public void expectPeers(int peers) {
+        expectedPeers = peers;
+    }
+
     /**
      * Takes note of a request that was placed.
      *
@@ -91,12 +104,7 @@
      * @return The requests.
      */
     public int estimate(String incarnation, long nowMillis) {
-        int counted = own(incarnation);
-        for (PeerCounts counts : peers.values()) {
-            if (nowMillis - counts.atMillis() <= PEER_COUNT_AGE_MILLIS) {
-                counted += counts.counts().getOrDefault(incarnation, 0);
-            }
-        }
+        int counted = own(incarnation) + peers(incarnation, nowMillis);
         Reported reported = reports.get(incarnation);
         if (reported != null && nowMillis - reported.atMillis() <= REPORT_AGE_MILLIS) {
             return Math.max(counted, reported.requests());
@@ -104,6 +112,27 @@
         return counted;
     }
 
+    /**
+     * Estimates the requests of all peers at an endpoint.
+     *
+     * @param incarnation The incarnation of the endpoint.
+     * @param nowMillis The present time in milliseconds.
+     * @return The requests.
+     */
+    private int peers(String incarnation, long nowMillis) {
+        int counted = 0;
+        int heard = 0;
+        for (PeerCounts counts : peers.values()) {
+            if (nowMillis - counts.atMillis() <= PEER_COUNT_AGE_MILLIS) {
+                heard++;
+                counted += counts.counts().getOrDefault(incarnation, 0);
+            }
+        }
+        return heard == 0 || heard >= expectedPeers
+                ? counted
+                : Math.round((float) counted * expectedPeers / heard);
+    }
+
     /**
      * Forgets what is too old to be used.
      *
--- a/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/Gateway.java
+++ b/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/Gateway.java
@@ -10,7 +10,10 @@
 import io.chicorytrestle.gateway.dialect.RequestDialect;
 import io.chicorytrestle.gateway.exchange.GatewayContext;
 import io.chicorytrestle.gateway.exchange.RequestHandler;
+import io.chicorytrestle.gateway.fleet.FleetChannel;
 import io.chicorytrestle.gateway.fleet.FleetKnowledge;
+import io.chicorytrestle.gateway.fleet.PeerAddress;
+import io.chicorytrestle.gateway.fleet.TableCodec;
 import io.chicorytrestle.gateway.front.CallerHandler;
 import io.chicorytrestle.gateway.front.HttpFront;
 import io.chicorytrestle.gateway.link.Addresses;
@@ -41,6 +44,12 @@
     /** The time in milliseconds between two steps of the controllers. */
     private static final long STEP_MILLIS = 250;
 
+    /**
+     * The time in milliseconds between two beats: several within the time in which a leaving
+     * endpoint may still be used, at a few kilobytes a second.
+     */
+    private static final long BEAT_MILLIS = 400;
+
     /** The bytes of a megabyte. */
     private static final long MEGABYTE = 1_048_576;
 
@@ -86,6 +95,9 @@
     /** What this instance believes of the fleet. */
     private final FleetKnowledge knowledge;
 
+    /** Exchanges beats with other instances. */
+    private final FleetChannel fleet;
+
     /** Serves callers. */
     private final HttpFront front;
 
@@ -110,8 +122,10 @@
      * @param settings The settings.
      * @param metricsPort The port of the metrics.
      * @param dialect Translates headers.
+     * @param codec Reads routing tables as they are published.
      */
-    public Gateway(GatewaySettings settings, int metricsPort, RequestDialect dialect) {
+    public Gateway(
+            GatewaySettings settings, int metricsPort, RequestDialect dialect, TableCodec codec) {
         this.settings = settings;
         reactor =
                 Eventloop.builder()
@@ -146,6 +160,16 @@
                         peerAddress.getAddress().getHostAddress() + ':' + metricsPort,
                         text(() -> OwnAnswers.text(HttpResponseStatus.OK, metrics.render())),
                         () -> RequestLimits.DEFAULT);
+        fleet =
+                new FleetChannel(
+                        reactor,
+                        new PeerAddress(
+                                settings.instanceName(), settings.peerAddress(), settings.zone()),
+                        settings.seeds(),
+                        knowledge,
+                        context.loads(),
+                        codec);
+        metrics.gauge("peers", fleet::size);
         metrics.gauge("table_version", knowledge::version);
         metrics.gauge("caller_connections", front::connections);
         metrics.gauge("log_lines_dropped", LineSink.STANDARD_OUTPUT::dropped);
@@ -239,9 +263,11 @@
         front.listen();
         ready.listen();
         shown.listen();
+        fleet.listen();
         Runtime.getRuntime().addShutdownHook(new Thread(this::awaitEnd, "end"));
         LOGGER.atInfo().with(LogFields.PEER, settings.instanceName()).log("instance_started");
         step();
+        beat();
         reactor.run();
         ended.countDown();
     }
@@ -263,9 +289,18 @@
         isEnding = true;
         endingSinceMillis = reactor.currentTimeMillis();
         front.drain();
+        fleet.end();
         LOGGER.atInfo().with(LogFields.COUNT, (int) front.busy()).log("instance_ending");
     }
 
+    /** Sends a beat and plans the next one. */
+    private void beat() {
+        if (!isEnding) {
+            fleet.beat(reactor.currentTimeMillis());
+            reactor.delayBackground(BEAT_MILLIS, this::beat);
+        }
+    }
+
     /** Steps the controllers and plans the next step. */
     private void step() {
         long nowMillis = reactor.currentTimeMillis();
--- /dev/null
+++ b/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/fleet/Beat.java
@@ -0,0 +1,35 @@
+package io.chicorytrestle.gateway.fleet;
+
+import java.util.List;
+import java.util.Map;
+
+/**
+ * Holds what an instance tells its peers at short intervals.
+ *
+ * @param sender Where the sender is met.
+ * @param incarnation The number that tells this process from earlier ones of the same name.
+ * @param tableVersion The version of the routing table in force.
+ * @param endpointRevision The store's revision of the newest change of endpoints that is known.
+ * @param isEnding Whether the sender takes no more work.
+ * @param counts The sender's requests in flight by incarnation of the endpoint.
+ * @param leaving The incarnations of endpoints that take no more requests.
+ * @param peers Some instances that the sender knows.
+ */
+public record Beat(
+        PeerAddress sender,
+        long incarnation,
+        long tableVersion,
+        long endpointRevision,
+        boolean isEnding,
+        Map<String, Integer> counts,
+        List<String> leaving,
+        List<PeerAddress> peers)
+        implements FleetMessage {
+
+    /** Copies the collections. */
+    public Beat {
+        counts = Map.copyOf(counts);
+        leaving = List.copyOf(leaving);
+        peers = List.copyOf(peers);
+    }
+}
--- /dev/null
+++ b/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/fleet/FleetChannel.java
@@ -0,0 +1,313 @@
+package io.chicorytrestle.gateway.fleet;
+
+import com.google.common.flogger.FluentLogger;
+import io.activej.net.SimpleServer;
+import io.activej.net.socket.tcp.TcpSocket;
+import io.activej.reactor.net.SocketSettings;
+import io.activej.reactor.nio.NioReactor;
+import io.chicorytrestle.core.placement.LoadBook;
+import io.chicorytrestle.core.route.RoutingTable;
+import io.chicorytrestle.gateway.link.Addresses;
+import io.chicorytrestle.gateway.operations.LogFields;
+import java.io.IOException;
+import java.nio.ByteBuffer;
+import java.time.Duration;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+import java.util.Set;
+
+/**
+ * Exchanges beats with other instances, and fetches from them what the store has not told. It is
+ * confined to the event loop's thread.
+ */
+public final class FleetChannel {
+
+    /** Reports peers that are found and lost. */
+    private static final FluentLogger LOGGER = FluentLogger.forEnclosingClass();
+
+    /** The time in milliseconds within which a connection must stand. */
+    private static final long CONNECT_TIMEOUT_MILLIS = 600;
+
+    /**
+     * The time in milliseconds for which the store may be behind a peer before the peer is asked.
+     */
+    private static final long PATIENCE_MILLIS = 300;
+
+    /** The time in milliseconds after a request for a snapshot before another is sent. */
+    private static final long SNAPSHOT_INTERVAL_MILLIS = 400;
+
+    /** The options of a connection. */
+    private static final SocketSettings SOCKET_SETTINGS =
+            SocketSettings.builder().withTcpNoDelay(true).build();
+
+    /** The event loop. */
+    private final NioReactor reactor;
+
+    /** Where this instance is met. */
+    private final PeerAddress self;
+
+    /** The number that tells this process from earlier ones. */
+    private final long incarnation;
+
+    /** What this instance believes. */
+    private final FleetKnowledge knowledge;
+
+    /** Takes the peers' requests in flight. */
+    private final LoadBook loads;
+
+    /** Reads routing tables as they were published. */
+    private final TableCodec codec;
+
+    /** The known instances. */
+    private final FleetMembers members;
+
+    /** Accepts connections. */
+    private final SimpleServer server;
+
+    /** The connections made by this instance, by address. */
+    private final Map<String, FleetLink> links = new HashMap<>();
+
+    /** The addresses to which a connection is being made. */
+    private final Set<String> connecting = new HashSet<>();
+
+    /** The connections made by others. */
+    private final Set<FleetLink> accepted = new HashSet<>();
+
+    /** The time in milliseconds since which a peer knows more. */
+    private long behindSinceMillis;
+
+    /** The version and the revision that this instance had at that time. */
+    private List<Long> behindState = List.of();
+
+    /** The time in milliseconds of the last request for a snapshot. */
+    private long askedMillis;
+
+    /** Whether this instance takes no more work. */
+    private boolean isEnding;
+
+    /**
+     * Creates a new channel.
+     *
+     * @param reactor The event loop.
+     * @param self Where this instance is met.
+     * @param seeds The addresses at which the first instances may be met.
+     * @param knowledge What this instance believes.
+     * @param loads Takes the peers' requests in flight.
+     * @param codec Reads routing tables as they were published.
+     */
+    public FleetChannel(
+            NioReactor reactor,
+            PeerAddress self,
+            List<String> seeds,
+            FleetKnowledge knowledge,
+            LoadBook loads,
+            TableCodec codec) {
+        this.reactor = reactor;
+        this.self = self;
+        this.knowledge = knowledge;
+        this.loads = loads;
+        this.codec = codec;
+        Random random = new Random();
+        incarnation = random.nextLong();
+        askedMillis = reactor.currentTimeMillis() - SNAPSHOT_INTERVAL_MILLIS;
+        members = new FleetMembers(self, seeds, random);
+        server =
+                SimpleServer.builder(
+                                reactor,
+                                socket ->
+                                        accepted.add(
+                                                new FleetLink(
+                                                        socket, this::received, accepted::remove)))
+                        .withListenAddress(Addresses.parse(self.address()))
+                        .withSocketSettings(SOCKET_SETTINGS)
+                        .build();
+    }
+
+    /**
+     * Starts to listen.
+     *
+     * @throws IOException If the address cannot be bound.
+     */
+    public void listen() throws IOException {
+        server.listen();
+    }
+
+    /** Tells peers from now on that this instance takes no more work. */
+    public void end() {
+        isEnding = true;
+        beat(reactor.currentTimeMillis());
+    }
+
+    /**
+     * Returns the number of known instances beside this one.
+     *
+     * @return The number of known instances beside this one.
+     */
+    public int size() {
+        return members.size();
+    }
+
+    /**
+     * Sends a beat.
+     *
+     * @param nowMillis The present time in milliseconds.
+     */
+    public void beat(long nowMillis) {
+        members.expire(nowMillis);
+        loads.expectPeers(members.size());
+        byte[] message =
+                FleetCodec.encode(
+                        new Beat(
+                                self,
+                                incarnation,
+                                knowledge.version(),
+                                knowledge.endpointRevision(),
+                                isEnding,
+                                loads.own(),
+                                knowledge.leaving(),
+                                members.sample(nowMillis)));
+        for (String address : members.targets(nowMillis)) {
+            send(address, message, nowMillis);
+        }
+    }
+
+    /**
+     * Sends a message, after connecting if need be.
+     *
+     * @param address The address of the instance.
+     * @param message The encoded message.
+     * @param nowMillis The present time in milliseconds.
+     */
+    private void send(String address, byte[] message, long nowMillis) {
+        FleetLink link = links.get(address);
+        if (link != null && (link.isBusy() || !members.isFresh(address, nowMillis))) {
+            link.close(new IOException("Peer is silent"));
+            link = null;
+        }
+        if (link != null) {
+            link.send(message);
+        } else if (connecting.add(address)) {
+            TcpSocket.connect(
+                            reactor,
+                            Addresses.parse(address),
+                            Duration.ofMillis(CONNECT_TIMEOUT_MILLIS),
+                            SOCKET_SETTINGS)
+                    .whenComplete(
+                            (socket, failure) -> {
+                                connecting.remove(address);
+                                if (failure == null) {
+                                    connected(address, socket, message);
+                                }
+                            });
+        }
+    }
+
+    /**
+     * Takes a new connection.
+     *
+     * @param address The address of the instance.
+     * @param socket The socket.
+     * @param message The message to send first.
+     */
+    private void connected(String address, TcpSocket socket, byte[] message) {
+        FleetLink made =
+                new FleetLink(socket, this::received, closed -> links.remove(address, closed));
+        links.put(address, made);
+        made.send(message);
+    }
+
+    /**
+     * Takes a message.
+     *
+     * @param link The connection.
+     * @param message The message.
+     */
+    private void received(FleetLink link, FleetMessage message) {
+        long nowMillis = reactor.currentTimeMillis();
+        if (message instanceof Beat beat) {
+            received(beat, nowMillis);
+        } else if (message instanceof SnapshotRequest request) {
+            byte[] table =
+                    request.tableVersion() < knowledge.version()
+                            ? knowledge.publishedTable()
+                            : new byte[0];
+            link.send(
+                    FleetCodec.encode(
+                            new Snapshot(
+                                    self.name(),
+                                    ByteBuffer.wrap(table),
+                                    knowledge.endpointRevision(),
+                                    List.copyOf(knowledge.endpoints()))));
+        } else if (message instanceof Snapshot snapshot) {
+            received(snapshot, nowMillis);
+        }
+    }
+
+    /**
+     * Takes a beat.
+     *
+     * @param beat The beat.
+     * @param nowMillis The present time in milliseconds.
+     */
+    private void received(Beat beat, long nowMillis) {
+        if (members.heard(beat, nowMillis)) {
+            LOGGER.atInfo()
+                    .with(LogFields.PEER, beat.sender().name())
+                    .with(LogFields.ADDRESS, beat.sender().address())
+                    .with(LogFields.COUNT, members.size())
+                    .log("peer_found");
+        }
+        loads.peer(beat.sender().name(), beat.counts(), nowMillis);
+        for (String leaving : beat.leaving()) {
+            knowledge.leaving(leaving, beat.sender().name(), nowMillis);
+        }
+        boolean isBehind =
+                beat.tableVersion() > knowledge.version()
+                        || beat.endpointRevision() > knowledge.endpointRevision();
+        if (!isBehind) {
+            return;
+        }
+        List<Long> state = List.of(knowledge.version(), knowledge.endpointRevision());
+        if (!state.equals(behindState)) {
+            behindState = state;
+            behindSinceMillis = nowMillis;
+        }
+        boolean isDue =
+                nowMillis - behindSinceMillis >= PATIENCE_MILLIS || knowledge.version() == 0;
+        if (isDue && nowMillis - askedMillis >= SNAPSHOT_INTERVAL_MILLIS) {
+            askedMillis = nowMillis;
+            send(
+                    beat.sender().address(),
+                    FleetCodec.encode(new SnapshotRequest(knowledge.version())),
+                    nowMillis);
+        }
+    }
+
+    /**
+     * Takes a snapshot.
+     *
+     * @param snapshot The snapshot.
+     * @param nowMillis The present time in milliseconds.
+     */
+    private void received(Snapshot snapshot, long nowMillis) {
+        ByteBuffer buffer = snapshot.table().duplicate();
+        if (buffer.hasRemaining()) {
+            byte[] published = new byte[buffer.remaining()];
+            buffer.get(published);
+            try {
+                RoutingTable table = codec.decode(published);
+                knowledge.accept(table, published, snapshot.sender());
+            } catch (IOException exception) {
+                LOGGER.atWarning()
+                        .with(LogFields.PEER, snapshot.sender())
+                        .with(LogFields.REASON, String.valueOf(exception.getMessage()))
+                        .log("peer_table_refused");
+            }
+        }
+        knowledge.told(
+                snapshot.endpoints(), snapshot.endpointRevision(), snapshot.sender(), nowMillis);
+    }
+}
--- /dev/null
+++ b/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/fleet/FleetCodec.java
@@ -0,0 +1,215 @@
+package io.chicorytrestle.gateway.fleet;
+
+import io.chicorytrestle.core.placement.ServingEndpoint;
+import java.io.IOException;
+import java.nio.ByteBuffer;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import org.msgpack.core.MessageBufferPacker;
+import org.msgpack.core.MessagePack;
+import org.msgpack.core.MessageUnpacker;
+
+/** Writes and reads messages between instances as MessagePack. */
+final class FleetCodec {
+
+    /** The number that starts a beat. */
+    private static final int BEAT = 1;
+
+    /** The number that starts a request for a snapshot. */
+    private static final int SNAPSHOT_REQUEST = 2;
+
+    /** The number that starts a snapshot. */
+    private static final int SNAPSHOT = 3;
+
+    /** Not to be created. */
+    private FleetCodec() {}
+
+    /**
+     * Writes a message.
+     *
+     * @param message The message.
+     * @return The bytes.
+     */
+    static byte[] encode(FleetMessage message) {
+        try (MessageBufferPacker packer = MessagePack.newDefaultBufferPacker()) {
+            if (message instanceof Beat beat) {
+                packer.packInt(BEAT);
+                pack(packer, beat);
+            } else if (message instanceof SnapshotRequest request) {
+                packer.packInt(SNAPSHOT_REQUEST);
+                packer.packLong(request.tableVersion());
+            } else if (message instanceof Snapshot snapshot) {
+                packer.packInt(SNAPSHOT);
+                pack(packer, snapshot);
+            }
+            return packer.toByteArray();
+        } catch (IOException exception) {
+            throw new IllegalStateException("Message could not be written to memory", exception);
+        }
+    }
+
+    /**
+     * Reads a message.
+     *
+     * @param bytes The bytes.
+     * @return The message.
+     * @throws IOException If the message is malformed.
+     */
+    static FleetMessage decode(byte[] bytes) throws IOException {
+        try (MessageUnpacker unpacker = MessagePack.newDefaultUnpacker(bytes)) {
+            int kind = unpacker.unpackInt();
+            return switch (kind) {
+                case BEAT -> unpackBeat(unpacker);
+                case SNAPSHOT_REQUEST -> new SnapshotRequest(unpacker.unpackLong());
+                case SNAPSHOT -> unpackSnapshot(unpacker);
+                default -> throw new IOException("Kind of message is unknown: " + kind);
+            };
+        } catch (RuntimeException exception) {
+            throw new IOException("Message is malformed", exception);
+        }
+    }
+
+    /**
+     * Writes a beat.
+     *
+     * @param packer Takes the fields.
+     * @param beat The beat.
+     * @throws IOException Never, since the output is memory.
+     */
+    private static void pack(MessageBufferPacker packer, Beat beat) throws IOException {
+        pack(packer, beat.sender());
+        packer.packLong(beat.incarnation());
+        packer.packLong(beat.tableVersion());
+        packer.packLong(beat.endpointRevision());
+        packer.packBoolean(beat.isEnding());
+        packer.packMapHeader(beat.counts().size());
+        for (Map.Entry<String, Integer> count : beat.counts().entrySet()) {
+            packer.packString(count.getKey());
+            packer.packInt(count.getValue());
+        }
+        packer.packArrayHeader(beat.leaving().size());
+        for (String incarnation : beat.leaving()) {
+            packer.packString(incarnation);
+        }
+        packer.packArrayHeader(beat.peers().size());
+        for (PeerAddress peer : beat.peers()) {
+            pack(packer, peer);
+        }
+    }
+
+    /**
+     * Reads a beat.
+     *
+     * @param unpacker Gives the fields.
+     * @return The beat.
+     * @throws IOException If the message is malformed.
+     */
+    private static Beat unpackBeat(MessageUnpacker unpacker) throws IOException {
+        PeerAddress sender = unpackAddress(unpacker);
+        long incarnation = unpacker.unpackLong();
+        long tableVersion = unpacker.unpackLong();
+        long endpointRevision = unpacker.unpackLong();
+        boolean isEnding = unpacker.unpackBoolean();
+        Map<String, Integer> counts = new HashMap<>();
+        for (int left = unpacker.unpackMapHeader(); left > 0; left--) {
+            counts.put(unpacker.unpackString(), unpacker.unpackInt());
+        }
+        List<String> leaving = new ArrayList<>();
+        for (int left = unpacker.unpackArrayHeader(); left > 0; left--) {
+            leaving.add(unpacker.unpackString());
+        }
+        List<PeerAddress> peers = new ArrayList<>();
+        for (int left = unpacker.unpackArrayHeader(); left > 0; left--) {
+            peers.add(unpackAddress(unpacker));
+        }
+        return new Beat(
+                sender,
+                incarnation,
+                tableVersion,
+                endpointRevision,
+                isEnding,
+                counts,
+                leaving,
+                peers);
+    }
+
+    /**
+     * Writes an address.
+     *
+     * @param packer Takes the fields.
+     * @param address The address.
+     * @throws IOException Never, since the output is memory.
+     */
+    private static void pack(MessageBufferPacker packer, PeerAddress address) throws IOException {
+        packer.packString(address.name());
+        packer.packString(address.address());
+        packer.packString(address.zone());
+    }
+
+    /**
+     * Reads an address.
+     *
+     * @param unpacker Gives the fields.
+     * @return The address.
+     * @throws IOException If the message is malformed.
+     */
+    private static PeerAddress unpackAddress(MessageUnpacker unpacker) throws IOException {
+        return new PeerAddress(
+                unpacker.unpackString(), unpacker.unpackString(), unpacker.unpackString());
+    }
+
+    /**
+     * Writes a snapshot.
+     *
+     * @param packer Takes the fields.
+     * @param snapshot The snapshot.
+     * @throws IOException Never, since the output is memory.
+     */
+    private static void pack(MessageBufferPacker packer, Snapshot snapshot) throws IOException {
+        packer.packString(snapshot.sender());
+        ByteBuffer table = snapshot.table().duplicate();
+        byte[] bytes = new byte[table.remaining()];
+        table.get(bytes);
+        packer.packBinaryHeader(bytes.length);
+        packer.writePayload(bytes);
+        packer.packLong(snapshot.endpointRevision());
+        packer.packArrayHeader(snapshot.endpoints().size());
+        for (ServingEndpoint endpoint : snapshot.endpoints()) {
+            packer.packString(endpoint.id());
+            packer.packString(endpoint.service());
+            packer.packString(endpoint.address());
+            packer.packString(endpoint.zone());
+            packer.packInt(endpoint.slots());
+            packer.packBoolean(endpoint.isLeaving());
+            packer.packLong(endpoint.bornMillis());
+        }
+    }
+
+    /**
+     * Reads a snapshot.
+     *
+     * @param unpacker Gives the fields.
+     * @return The snapshot.
+     * @throws IOException If the message is malformed.
+     */
+    private static Snapshot unpackSnapshot(MessageUnpacker unpacker) throws IOException {
+        String sender = unpacker.unpackString();
+        byte[] table = unpacker.readPayload(unpacker.unpackBinaryHeader());
+        long endpointRevision = unpacker.unpackLong();
+        List<ServingEndpoint> endpoints = new ArrayList<>();
+        for (int left = unpacker.unpackArrayHeader(); left > 0; left--) {
+            endpoints.add(
+                    new ServingEndpoint(
+                            unpacker.unpackString(),
+                            unpacker.unpackString(),
+                            unpacker.unpackString(),
+                            unpacker.unpackString(),
+                            unpacker.unpackInt(),
+                            unpacker.unpackBoolean(),
+                            unpacker.unpackLong()));
+        }
+        return new Snapshot(sender, ByteBuffer.wrap(table), endpointRevision, endpoints);
+    }
+}
--- a/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/fleet/FleetKnowledge.java
+++ b/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/fleet/FleetKnowledge.java
@@ -33,6 +33,9 @@
     /** Called with an incarnation that takes no more requests. */
     private final Consumer<String> departures;
 
+    /** The store's revision of the newest change of endpoints that is known. */
+    private long endpointRevision;
+
     /** The text of the routing table in force, as it was published. */
     private byte[] publishedTable = new byte[0];
 
@@ -94,9 +97,11 @@
      * Takes a complete list of endpoints.
      *
      * @param endpoints The endpoints.
+     * @param revision The store's revision as of the list.
      * @param nowMillis The present time in milliseconds.
      */
-    public void listed(Collection<ServingEndpoint> endpoints, long nowMillis) {
+    public void listed(Collection<ServingEndpoint> endpoints, long revision, long nowMillis) {
+        endpointRevision = Math.max(endpointRevision, revision);
         publish(directory.replace(endpoints, nowMillis), "store", nowMillis);
     }
 
@@ -104,9 +109,11 @@
      * Takes the entry of one endpoint.
      *
      * @param endpoint The endpoint.
+     * @param revision The store's revision of the entry.
      * @param nowMillis The present time in milliseconds.
      */
-    public void changed(ServingEndpoint endpoint, long nowMillis) {
+    public void changed(ServingEndpoint endpoint, long revision, long nowMillis) {
+        endpointRevision = Math.max(endpointRevision, revision);
         publish(directory.put(endpoint).stream().toList(), "store", nowMillis);
     }
 
@@ -114,9 +121,11 @@
      * Takes note of an entry that vanished.
      *
      * @param id The identifier of the endpoint.
+     * @param revision The store's revision of the removal.
      * @param nowMillis The present time in milliseconds.
      */
-    public void removed(String id, long nowMillis) {
+    public void removed(String id, long revision, long nowMillis) {
+        endpointRevision = Math.max(endpointRevision, revision);
         publish(directory.remove(id, nowMillis).stream().toList(), "store", nowMillis);
     }
 
@@ -132,6 +141,31 @@
         publish(change.stream().toList(), peer, nowMillis);
     }
 
+    /**
+     * Takes the endpoints that a peer knows, if it knows newer changes of them.
+     *
+     * @param endpoints The endpoints.
+     * @param revision The store's revision of the newest change that the peer knows.
+     * @param peer The peer.
+     * @param nowMillis The present time in milliseconds.
+     */
+    public void told(
+            Collection<ServingEndpoint> endpoints, long revision, String peer, long nowMillis) {
+        if (revision > endpointRevision) {
+            endpointRevision = revision;
+            publish(directory.replace(endpoints, nowMillis), peer, nowMillis);
+        }
+    }
+
+    /**
+     * Returns the store's revision of the newest change of endpoints that is known.
+     *
+     * @return The revision, or zero before any is known.
+     */
+    public long endpointRevision() {
+        return endpointRevision;
+    }
+
     /**
      * Returns the incarnations that take no more requests.
      *
--- /dev/null
+++ b/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/fleet/FleetLink.java
@@ -0,0 +1,111 @@
+package io.chicorytrestle.gateway.fleet;
+
+import io.activej.bytebuf.ByteBuf;
+import io.activej.bytebuf.ByteBufPool;
+import io.activej.csp.binary.BinaryChannelSupplier;
+import io.activej.csp.binary.decoder.ByteBufsDecoders;
+import io.activej.csp.consumer.ChannelConsumers;
+import io.activej.csp.supplier.ChannelSuppliers;
+import io.activej.net.socket.tcp.ITcpSocket;
+import java.io.EOFException;
+import java.io.IOException;
+import java.util.function.BiConsumer;
+import java.util.function.Consumer;
+
+/** Carries framed messages over one connection. It is confined to the event loop's thread. */
+final class FleetLink {
+
+    /** The most bytes of a frame: a value of the store with room for the endpoints. */
+    private static final int MAXIMUM_FRAME_BYTES = 2_097_152;
+
+    /** The most bytes of a frame's length. */
+    private static final int MAXIMUM_LENGTH_BYTES = 5;
+
+    /** The socket. */
+    private final ITcpSocket socket;
+
+    /** Takes messages. */
+    private final BiConsumer<FleetLink, FleetMessage> receiver;
+
+    /** Called when the connection is closed. */
+    private final Consumer<FleetLink> closing;
+
+    /** Whether written bytes wait. */
+    private boolean isBusy;
+
+    /** Whether the connection was closed. */
+    private boolean isClosed;
+
+    /**
+     * Creates a new link and starts to read.
+     *
+     * @param socket The socket.
+     * @param receiver Takes messages.
+     * @param closing Called when the connection is closed.
+     */
+    FleetLink(
+            ITcpSocket socket,
+            BiConsumer<FleetLink, FleetMessage> receiver,
+            Consumer<FleetLink> closing) {
+        this.socket = socket;
+        this.receiver = receiver;
+        this.closing = closing;
+        BinaryChannelSupplier.of(ChannelSuppliers.ofSocket(socket))
+                .decodeStream(ByteBufsDecoders.ofVarIntSizePrefixedBytes(MAXIMUM_FRAME_BYTES))
+                .streamTo(ChannelConsumers.ofConsumer(this::receive))
+                .whenComplete(
+                        (ignored, failure) ->
+                                close(failure == null ? new EOFException("Peer ended") : failure));
+    }
+
+    /**
+     * Takes a frame.
+     *
+     * @param buffer The frame.
+     * @throws IOException If the message is malformed.
+     */
+    private void receive(ByteBuf buffer) throws IOException {
+        byte[] frame = buffer.asArray();
+        if (!isClosed) {
+            receiver.accept(this, FleetCodec.decode(frame));
+        }
+    }
+
+    /**
+     * Sends a message.
+     *
+     * @param message The encoded message.
+     */
+    void send(byte[] message) {
+        if (isClosed) {
+            return;
+        }
+        ByteBuf buffer = ByteBufPool.allocate(message.length + MAXIMUM_LENGTH_BYTES);
+        buffer.writeVarInt(message.length);
+        buffer.put(message);
+        isBusy = true;
+        socket.write(buffer).whenComplete(ignored -> isBusy = false, this::close);
+    }
+
+    /**
+     * Returns {@code true} if bytes wait to be written.
+     *
+     * @return {@code true} if the peer reads slowly or is out of reach.
+     */
+    boolean isBusy() {
+        return isBusy;
+    }
+
+    /**
+     * Closes the connection.
+     *
+     * @param cause Why.
+     */
+    void close(Exception cause) {
+        if (!isClosed) {
+            isClosed = true;
+            socket.closeEx(cause);
+            closing.accept(this);
+        }
+    }
+}
--- /dev/null
+++ b/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/fleet/FleetMembers.java
@@ -0,0 +1,180 @@
+package io.chicorytrestle.gateway.fleet;
+
+import java.util.ArrayList;
+import java.util.Collections;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+
+/**
+ * Keeps the instances that are known and chooses to whom the next beat goes. It is confined to one
+ * thread.
+ */
+final class FleetMembers {
+
+    /** The instances up to which each hears every beat; beyond, a beat goes to a random part. */
+    static final int FULL_FLEET = 24;
+
+    /** The instances to which a beat goes in a larger fleet, so that its cost stays the same. */
+    static final int FANOUT = 12;
+
+    /** The silence in milliseconds after which an instance counts as out of reach: four beats. */
+    static final long FRESH_MILLIS = 2_000;
+
+    /** The silence in milliseconds after which an instance is forgotten. */
+    static final long FORGET_MILLIS = 20_000;
+
+    /** The instances that a beat names, so that the news of an instance spreads in a few beats. */
+    private static final int NAMED_PEERS = 6;
+
+    /** The share of beats that still go to an instance that is out of reach. */
+    private static final double SILENT_SHARE = 0.25;
+
+    /** Where this instance is met. */
+    private final PeerAddress self;
+
+    /** The addresses at which the first instances may be met. */
+    private final List<String> seeds;
+
+    /** Draws targets. */
+    private final Random random;
+
+    /** The known instances by address. */
+    private final Map<String, Member> members = new HashMap<>();
+
+    /**
+     * Creates a new list.
+     *
+     * @param self Where this instance is met.
+     * @param seeds The addresses at which the first instances may be met.
+     * @param random Draws targets.
+     */
+    FleetMembers(PeerAddress self, List<String> seeds, Random random) {
+        this.self = self;
+        this.seeds = List.copyOf(seeds);
+        this.random = random;
+    }
+
+    /**
+     * Takes note of a sign of life.
+     *
+     * @param beat What the instance told.
+     * @param nowMillis The present time in milliseconds.
+     * @return {@code true} if the instance was out of reach before.
+     */
+    boolean heard(Beat beat, long nowMillis) {
+        beat.peers().forEach(peer -> learned(peer, nowMillis));
+        if (beat.sender().address().equals(self.address())) {
+            return false;
+        }
+        if (beat.isEnding()) {
+            members.remove(beat.sender().address());
+            return false;
+        }
+        Member before =
+                members.put(
+                        beat.sender().address(), new Member(beat.sender(), nowMillis, nowMillis));
+        return before == null || nowMillis - before.heardMillis() > FRESH_MILLIS;
+    }
+
+    /**
+     * Takes note of an instance that another one knows.
+     *
+     * @param peer Where the instance is met.
+     * @param nowMillis The present time in milliseconds.
+     */
+    private void learned(PeerAddress peer, long nowMillis) {
+        if (!peer.address().equals(self.address())) {
+            members.putIfAbsent(
+                    peer.address(), new Member(peer, nowMillis - FRESH_MILLIS - 1, nowMillis));
+        }
+    }
+
+    /**
+     * Forgets instances that were silent for long.
+     *
+     * @param nowMillis The present time in milliseconds.
+     */
+    void expire(long nowMillis) {
+        members.values()
+                .removeIf(
+                        member ->
+                                nowMillis - member.heardMillis() > FORGET_MILLIS
+                                        && nowMillis - member.learnedMillis() > FORGET_MILLIS);
+    }
+
+    /**
+     * Chooses to whom the next beat goes.
+     *
+     * @param nowMillis The present time in milliseconds.
+     * @return The addresses.
+     */
+    List<String> targets(long nowMillis) {
+        List<String> targets = new ArrayList<>();
+        for (Member member : members.values()) {
+            boolean isFresh = nowMillis - member.heardMillis() <= FRESH_MILLIS;
+            if (isFresh || random.nextDouble() < SILENT_SHARE) {
+                targets.add(member.peer().address());
+            }
+        }
+        for (String seed : seeds) {
+            boolean isNew = !members.containsKey(seed) && !seed.equals(self.address());
+            if (isNew && (members.isEmpty() || random.nextDouble() < SILENT_SHARE)) {
+                targets.add(seed);
+            }
+        }
+        if (targets.size() > FULL_FLEET) {
+            Collections.shuffle(targets, random);
+            return targets.subList(0, FANOUT);
+        }
+        return targets;
+    }
+
+    /**
+     * Returns some known instances for a beat.
+     *
+     * @param nowMillis The present time in milliseconds.
+     * @return The instances.
+     */
+    List<PeerAddress> sample(long nowMillis) {
+        List<PeerAddress> fresh = new ArrayList<>();
+        for (Member member : members.values()) {
+            if (nowMillis - member.heardMillis() <= FRESH_MILLIS) {
+                fresh.add(member.peer());
+            }
+        }
+        Collections.shuffle(fresh, random);
+        return fresh.subList(0, Math.min(NAMED_PEERS, fresh.size()));
+    }
+
+    /**
+     * Returns {@code true} if an instance gave a sign of life lately.
+     *
+     * @param address The address of the instance.
+     * @param nowMillis The present time in milliseconds.
+     * @return {@code true} if an instance gave a sign of life lately.
+     */
+    boolean isFresh(String address, long nowMillis) {
+        Member member = members.get(address);
+        return member != null && nowMillis - member.heardMillis() <= FRESH_MILLIS;
+    }
+
+    /**
+     * Returns the number of known instances beside this one.
+     *
+     * @return The number of known instances beside this one.
+     */
+    int size() {
+        return members.size();
+    }
+
+    /**
+     * Holds a known instance.
+     *
+     * @param peer Where the instance is met.
+     * @param heardMillis The time of its last sign of life in milliseconds.
+     * @param learnedMillis The time at which it was last named or heard, in milliseconds.
+     */
+    private record Member(PeerAddress peer, long heardMillis, long learnedMillis) {}
+}
