Name a holder of shared prompt parts with each request, avoid zones out of reach, end in time

Requests were sent into a cut zone for as long as the cut lasted. A stream taken 5 s after SIGTERM was cut at the end (LOST). Ruled out: keeping chats off engines that join; it needs a memory of chats on every instance. Change: each model request names the earlier home, another known reader, or the home of its first part to fetch from; a zone whose instances all fell silent for a second is avoided and repeatable work leaves it; a repeatable request goes on elsewhere when an endpoint stays silent for twice the target; 2.6 s after SIGTERM idle connections are closed and new requests refused as not run.

--- a/chicorytrestle-core/src/main/java/io/chicorytrestle/core/attempt/RefusalReason.java
+++ b/chicorytrestle-core/src/main/java/io/chicorytrestle/core/attempt/RefusalReason.java
@@ -23,6 +23,9 @@
     /** The request crashed every endpoint that ran it. */
     QUARANTINED(2_000),
 
+    /** This instance is about to end; the balancer already sends new connections elsewhere. */
+    ENDING(20),
+
     /** This instance holds as many requests as its memory allows. */
     INSTANCE_FULL(200);
 
--- a/chicorytrestle-core/src/main/java/io/chicorytrestle/core/placement/EndpointDirectory.java
+++ b/chicorytrestle-core/src/main/java/io/chicorytrestle/core/placement/EndpointDirectory.java
@@ -21,6 +21,15 @@
     /** The share of a service's endpoints that must remain for vanished ones to be avoided. */
     private static final double SUFFICIENT_SHARE = 0.5;
 
+    /**
+     * The time in milliseconds after which an endpoint that joined has read the prompts of the
+     * chats that are now its own.
+     */
+    private static final long NEWCOMER_MILLIS = 10_000;
+
+    /** The time in milliseconds at which each incarnation appeared beside others. */
+    private final Map<String, Long> joined = new HashMap<>();
+
     /** The endpoints by identifier. */
     private final Map<String, ServingEndpoint> entries = new HashMap<>();
 
@@ -51,11 +60,15 @@
      * @return The changes.
      */
     public List<Change> replace(Collection<ServingEndpoint> listed, long nowMillis) {
+        boolean isFirst = entries.isEmpty();
         List<Change> changes = new ArrayList<>();
         Set<String> ids = new HashSet<>();
         for (ServingEndpoint endpoint : listed) {
             ids.add(endpoint.id());
-            put(endpoint).ifPresent(changes::add);
+            put(endpoint, nowMillis).ifPresent(changes::add);
+        }
+        if (isFirst) {
+            joined.clear();
         }
         for (String id : List.copyOf(entries.keySet())) {
             if (!ids.contains(id)) {
@@ -69,19 +82,24 @@
      * Takes the entry of an endpoint.
      *
      * @param endpoint The endpoint.
+     * @param nowMillis The present time in milliseconds.
      * @return The change, or empty if nothing changed.
      */
-    public Optional<Change> put(ServingEndpoint endpoint) {
+    public Optional<Change> put(ServingEndpoint endpoint, long nowMillis) {
         if (endpoint.isLeaving()) {
             leaving.add(endpoint.incarnation());
         }
         ServingEndpoint taken =
                 leaving.contains(endpoint.incarnation()) ? endpoint.withLeaving() : endpoint;
+        boolean hasOthers = !entries.isEmpty() && !vanished.containsKey(endpoint.id());
         vanished.remove(endpoint.id());
         ServingEndpoint before = entries.put(taken.id(), taken);
         if (taken.equals(before)) {
             return Optional.empty();
         }
+        if (before == null && hasOthers) {
+            joined.putIfAbsent(taken.incarnation(), nowMillis);
+        }
         if (before == null || !before.incarnation().equals(taken.incarnation())) {
             return Optional.of(new Change(taken, taken.isLeaving() ? Kind.LEAVING : Kind.FOUND));
         }
@@ -112,16 +130,17 @@
      * Takes note of an incarnation that takes no more work.
      *
      * @param incarnation The incarnation.
+     * @param nowMillis The present time in milliseconds.
      * @return The change, or empty if this was known or the endpoint is not.
      */
-    public Optional<Change> leave(String incarnation) {
+    public Optional<Change> leave(String incarnation, long nowMillis) {
         if (!leaving.add(incarnation)) {
             return Optional.empty();
         }
         return entries.values().stream()
                 .filter(endpoint -> endpoint.incarnation().equals(incarnation))
                 .findFirst()
-                .flatMap(endpoint -> put(endpoint.withLeaving()))
+                .flatMap(endpoint -> put(endpoint.withLeaving(), nowMillis))
                 .map(change -> new Change(change.endpoint(), Kind.LEAVING));
     }
 
@@ -163,7 +182,10 @@
         }
         addLapsed(ready);
         ready.values().forEach(list -> list.sort(Comparator.comparing(ServingEndpoint::id)));
-        return new ServingView(ready);
+        joined.values().removeIf(sinceMillis -> nowMillis - sinceMillis >= NEWCOMER_MILLIS);
+        List<ServingEndpoint> departing =
+                entries.values().stream().filter(ServingEndpoint::isLeaving).toList();
+        return new ServingView(ready, departing, joined.keySet());
     }
 
     /**
--- a/chicorytrestle-core/src/main/java/io/chicorytrestle/core/placement/EndpointPicker.java
+++ b/chicorytrestle-core/src/main/java/io/chicorytrestle/core/placement/EndpointPicker.java
@@ -1,15 +1,16 @@
 package io.chicorytrestle.core.placement;
 
-import io.chicorytrestle.core.routing.RendezvousOrder;
 import java.util.Comparator;
 import java.util.List;
 import java.util.Optional;
 import java.util.Set;
+import java.util.function.Predicate;
 
 /**
  * Chooses the endpoint of a request. A model request goes to the agreed home of its last shared
- * prompt part, which all instances compute alike, unless that endpoint is broken or at its load
- * bound; a plain request goes to the least loaded endpoint. It is confined to one thread.
+ * prompt part, which all instances compute alike, unless that endpoint is out of reach, broken or
+ * at its load bound; a plain request goes to the least loaded endpoint. It is confined to one
+ * thread.
  */
 public final class EndpointPicker {
 
@@ -31,8 +32,11 @@
     /** Judges endpoints. */
     private final EndpointHealth health;
 
-    /** Remembers who holds prompt parts. */
-    private final HolderBook holders;
+    /** Judges zones. */
+    private final ZoneReach reach;
+
+    /** Finds endpoints to fetch cached parts from. */
+    private final FetchSource source;
 
     /**
      * Creates a new picker.
@@ -40,52 +44,62 @@
      * @param settings The bounds.
      * @param loads Estimates the load.
      * @param health Judges endpoints.
+     * @param reach Judges zones.
      * @param holders Remembers who holds prompt parts.
      */
     public EndpointPicker(
-            PlacementSettings settings, LoadBook loads, EndpointHealth health, HolderBook holders) {
+            PlacementSettings settings,
+            LoadBook loads,
+            EndpointHealth health,
+            ZoneReach reach,
+            HolderBook holders) {
         this.settings = settings;
         this.loads = loads;
         this.health = health;
-        this.holders = holders;
+        this.reach = reach;
+        source = new FetchSource(holders);
     }
 
     /**
      * Chooses an endpoint.
      *
-     * @param endpoints The endpoints of the service that may take work.
+     * @param view The known endpoints.
+     * @param service The name of the service.
      * @param prompt The prompt, or empty for a plain request.
      * @param excluded The incarnations that must not be chosen.
      * @param nowMillis The present time in milliseconds.
      * @return The placement, or empty if no endpoint remains.
      */
     public Optional<Placement> pick(
-            List<ServingEndpoint> endpoints,
+            ServingView view,
+            String service,
             Optional<Prompt> prompt,
             Set<String> excluded,
             long nowMillis) {
+        List<ServingEndpoint> ready = view.of(service);
         List<ServingEndpoint> allowed =
-                endpoints.stream()
+                ready.stream()
                         .filter(endpoint -> !excluded.contains(endpoint.incarnation()))
                         .toList();
         if (allowed.isEmpty()) {
             return Optional.empty();
         }
         List<ServingEndpoint> sound = sound(allowed, nowMillis);
-        Optional<PromptPart> key = prompt.flatMap(Prompt::lastSharedPart);
-        if (key.isEmpty()) {
+        if (prompt.isEmpty() || prompt.get().parts().isEmpty()) {
             return Optional.of(leastLoaded(sound, nowMillis));
         }
-        return Optional.of(home(allowed, sound, prompt.get(), key.get(), nowMillis));
+        Placement placement = home(allowed, sound, prompt.get(), nowMillis);
+        return Optional.of(
+                placement.withFetchAddress(
+                        source.find(view, ready, prompt.get(), placement.endpoint(), nowMillis)));
     }
 
     /**
-     * Chooses by the agreed order of a prompt part.
+     * Chooses by the agreed order of the last shared prompt part.
      *
      * @param allowed The endpoints that may be chosen.
      * @param sound Those of them that are not avoided.
-     * @param prompt The prompt.
-     * @param key The prompt part.
+     * @param prompt The prompt, which names at least one part.
      * @param nowMillis The present time in milliseconds.
      * @return The placement.
      */
@@ -93,9 +107,8 @@
             List<ServingEndpoint> allowed,
             List<ServingEndpoint> sound,
             Prompt prompt,
-            PromptPart key,
             long nowMillis) {
-        List<ServingEndpoint> order = ordered(allowed, key);
+        List<ServingEndpoint> order = HomeOrder.of(allowed, prompt.lastSharedPart().orElseThrow());
         double bound = bound(sound, nowMillis);
         for (ServingEndpoint endpoint : order) {
             double load = loads.estimate(endpoint.incarnation(), nowMillis);
@@ -104,29 +117,12 @@
                         endpoint.equals(order.get(0))
                                 ? PlacementReason.HOME
                                 : PlacementReason.SPILL;
-                return new Placement(
-                        endpoint, reason, holders.otherHolder(prompt, endpoint, nowMillis), load);
+                return new Placement(endpoint, reason, Optional.empty(), load);
             }
         }
         return leastLoaded(sound, nowMillis);
     }
 
-    /**
-     * Returns the endpoints in the order that all instances agree on for a prompt part.
-     *
-     * @param endpoints The endpoints.
-     * @param key The prompt part.
-     * @return The endpoints, the home first.
-     */
-    private static List<ServingEndpoint> ordered(List<ServingEndpoint> endpoints, PromptPart key) {
-        List<String> ids =
-                RendezvousOrder.order(
-                        key.id(), endpoints.stream().map(ServingEndpoint::id).toList());
-        return endpoints.stream()
-                .sorted(Comparator.comparingInt(endpoint -> ids.indexOf(endpoint.id())))
-                .toList();
-    }
-
     /**
      * Returns the most requests that an endpoint may carry.
      *
@@ -177,27 +173,40 @@
     }
 
     /**
-     * Returns the endpoints that need not be avoided.
+     * Returns the endpoints that need not be avoided. Where all must be, the judgement by failures
+     * is dropped before that by connections, and the one by zones last.
      *
      * @param endpoints The endpoints, at least one.
      * @param nowMillis The present time in milliseconds.
-     * @return The sound endpoints, or all if none is sound.
+     * @return The sound endpoints, at least one.
      */
     private List<ServingEndpoint> sound(List<ServingEndpoint> endpoints, long nowMillis) {
+        Set<String> unreachable = reach.unreachable(nowMillis);
         double mean =
                 endpoints.stream()
                         .mapToDouble(endpoint -> health.failureRate(endpoint.incarnation()))
                         .average()
                         .orElse(0);
-        List<ServingEndpoint> sound =
-                endpoints.stream()
-                        .filter(endpoint -> !health.isBroken(endpoint.incarnation(), nowMillis))
-                        .filter(
-                                endpoint ->
-                                        health.failureRate(endpoint.incarnation())
-                                                <= FAILURE_RATE_MULTIPLE * mean
-                                                        + FAILURE_RATE_SLACK)
-                        .toList();
-        return sound.isEmpty() ? endpoints : sound;
+        double worst = FAILURE_RATE_MULTIPLE * mean + FAILURE_RATE_SLACK;
+        List<ServingEndpoint> reached =
+                unlessEmpty(endpoints, endpoint -> !unreachable.contains(endpoint.zone()));
+        List<ServingEndpoint> connected =
+                unlessEmpty(
+                        reached, endpoint -> !health.isBroken(endpoint.incarnation(), nowMillis));
+        return unlessEmpty(
+                connected, endpoint -> health.failureRate(endpoint.incarnation()) <= worst);
+    }
+
+    /**
+     * Returns the endpoints that meet a condition, or all if none does.
+     *
+     * @param endpoints The endpoints.
+     * @param condition The condition.
+     * @return The endpoints that meet the condition, or all if none does.
+     */
+    private static List<ServingEndpoint> unlessEmpty(
+            List<ServingEndpoint> endpoints, Predicate<ServingEndpoint> condition) {
+        List<ServingEndpoint> left = endpoints.stream().filter(condition).toList();
+        return left.isEmpty() ? endpoints : left;
     }
 }
--- /dev/null
+++ b/chicorytrestle-core/src/main/java/io/chicorytrestle/core/placement/FetchSource.java
@@ -0,0 +1,101 @@
+package io.chicorytrestle.core.placement;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+
+/**
+ * Finds the endpoint from whose KV cache the chosen one can fetch what it lacks of a prompt. A
+ * fetch costs far less than reading the tokens again, and nothing if the chosen one lacks nothing.
+ */
+final class FetchSource {
+
+    /** Remembers who read prompt parts. */
+    private final HolderBook holders;
+
+    /**
+     * Creates a new source.
+     *
+     * @param holders Remembers who read prompt parts.
+     */
+    FetchSource(HolderBook holders) {
+        this.holders = holders;
+    }
+
+    /**
+     * Finds the endpoint to fetch from.
+     *
+     * @param view The known endpoints.
+     * @param ready The endpoints of the service that may take work.
+     * @param prompt The prompt.
+     * @param chosen The endpoint that will read the prompt.
+     * @param nowMillis The present time in milliseconds.
+     * @return The address, or empty if the chosen endpoint most likely holds all that others do.
+     */
+    Optional<String> find(
+            ServingView view,
+            List<ServingEndpoint> ready,
+            Prompt prompt,
+            ServingEndpoint chosen,
+            long nowMillis) {
+        return earlierHome(view, ready, prompt, chosen)
+                .or(() -> holders.otherHolder(prompt, chosen, nowMillis))
+                .or(() -> homeOfFirstPart(ready, prompt, chosen));
+    }
+
+    /**
+     * Finds the home that the last shared part had before endpoints joined and left.
+     *
+     * @param view The known endpoints.
+     * @param ready The endpoints of the service that may take work.
+     * @param prompt The prompt.
+     * @param chosen The endpoint that will read the prompt.
+     * @return The address, or empty if the home is the same.
+     */
+    private static Optional<String> earlierHome(
+            ServingView view, List<ServingEndpoint> ready, Prompt prompt, ServingEndpoint chosen) {
+        List<ServingEndpoint> earlier = new ArrayList<>();
+        for (ServingEndpoint endpoint : ready) {
+            if (!view.newcomers().contains(endpoint.incarnation())) {
+                earlier.add(endpoint);
+            }
+        }
+        for (ServingEndpoint endpoint : view.leaving()) {
+            if (endpoint.service().equals(chosen.service())) {
+                earlier.add(endpoint);
+            }
+        }
+        return prompt.lastSharedPart().flatMap(part -> home(earlier, part, chosen));
+    }
+
+    /**
+     * Finds the home of the first shared part, which many chats begin with.
+     *
+     * @param ready The endpoints of the service that may take work.
+     * @param prompt The prompt.
+     * @param chosen The endpoint that will read the prompt.
+     * @return The address, or empty if it is the chosen endpoint.
+     */
+    private static Optional<String> homeOfFirstPart(
+            List<ServingEndpoint> ready, Prompt prompt, ServingEndpoint chosen) {
+        return prompt.sharedParts().isEmpty()
+                ? Optional.empty()
+                : home(ready, prompt.sharedParts().get(0), chosen);
+    }
+
+    /**
+     * Finds the home of a part.
+     *
+     * @param endpoints The endpoints.
+     * @param part The part.
+     * @param chosen The endpoint that will read the prompt.
+     * @return The address, or empty if there is none or it is the chosen endpoint.
+     */
+    private static Optional<String> home(
+            List<ServingEndpoint> endpoints, PromptPart part, ServingEndpoint chosen) {
+        return HomeOrder.of(endpoints, part).stream()
+                .findFirst()
+                .filter(home -> !home.incarnation().equals(chosen.incarnation()))
+                .map(ServingEndpoint::address);
+    }
+}
--- a/chicorytrestle-core/src/main/java/io/chicorytrestle/core/placement/Placement.java
+++ b/chicorytrestle-core/src/main/java/io/chicorytrestle/core/placement/Placement.java
@@ -22,4 +22,14 @@
             throw new IllegalArgumentException("Load is negative: " + load);
         }
     }
+
+    /**
+     * Returns this placement with an endpoint to fetch from.
+     *
+     * @param address The address of an endpoint that holds shared parts, if any.
+     * @return The placement.
+     */
+    public Placement withFetchAddress(Optional<String> address) {
+        return new Placement(endpoint, reason, address, load);
+    }
 }
--- a/chicorytrestle-core/src/main/java/io/chicorytrestle/core/placement/ServingView.java
+++ b/chicorytrestle-core/src/main/java/io/chicorytrestle/core/placement/ServingView.java
@@ -2,20 +2,28 @@
 
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 
 /**
  * Lists the endpoints that may take work, as of one moment.
  *
  * @param endpoints The endpoints of each service, in order of their identifiers.
+ * @param leaving The endpoints that finish their work, of all services.
+ * @param newcomers The incarnations that appeared lately.
  */
-public record ServingView(Map<String, List<ServingEndpoint>> endpoints) {
+public record ServingView(
+        Map<String, List<ServingEndpoint>> endpoints,
+        List<ServingEndpoint> leaving,
+        Set<String> newcomers) {
 
     /** The view before any endpoint is known. */
-    public static final ServingView EMPTY = new ServingView(Map.of());
+    public static final ServingView EMPTY = new ServingView(Map.of(), List.of(), Set.of());
 
-    /** Copies the map. */
+    /** Copies the collections. */
     public ServingView {
         endpoints = Map.copyOf(endpoints);
+        leaving = List.copyOf(leaving);
+        newcomers = Set.copyOf(newcomers);
     }
 
     /**
--- /dev/null
+++ b/chicorytrestle-core/src/main/java/io/chicorytrestle/core/placement/ZoneReach.java
@@ -0,0 +1,74 @@
+package io.chicorytrestle.core.placement;
+
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.Map;
+import java.util.Set;
+
+/**
+ * Judges which availability zones are out of reach: those whose instances all fell silent while
+ * those of the own zone are heard. It is confined to one thread.
+ */
+public final class ZoneReach {
+
+    /**
+     * The silence in milliseconds after which a zone is out of reach: two lost beats and a half.
+     */
+    private static final long SILENCE_MILLIS = 1_000;
+
+    /** The own zone. */
+    private final String ownZone;
+
+    /** The last sign of life of any instance of a zone, in milliseconds. */
+    private final Map<String, Long> heard = new HashMap<>();
+
+    /**
+     * Creates a new judgement.
+     *
+     * @param ownZone The own zone.
+     */
+    public ZoneReach(String ownZone) {
+        this.ownZone = ownZone;
+    }
+
+    /**
+     * Takes note of a sign of life.
+     *
+     * @param zone The zone of the instance.
+     * @param nowMillis The present time in milliseconds.
+     */
+    public void heard(String zone, long nowMillis) {
+        heard.put(zone, nowMillis);
+    }
+
+    /**
+     * Returns the zones that are out of reach.
+     *
+     * @param nowMillis The present time in milliseconds.
+     * @return The zones.
+     */
+    public Set<String> unreachable(long nowMillis) {
+        if (isSilent(ownZone, nowMillis)) {
+            return Set.of();
+        }
+        Set<String> silent = new HashSet<>();
+        for (String zone : heard.keySet()) {
+            if (isSilent(zone, nowMillis)) {
+                silent.add(zone);
+            }
+        }
+        return silent;
+    }
+
+    /**
+     * Returns {@code true} if no instance of a zone was heard lately.
+     *
+     * @param zone The zone.
+     * @param nowMillis The present time in milliseconds.
+     * @return {@code true} if no instance of the zone was heard lately.
+     */
+    private boolean isSilent(String zone, long nowMillis) {
+        Long heardMillis = heard.get(zone);
+        return heardMillis == null || nowMillis - heardMillis > SILENCE_MILLIS;
+    }
+}
--- a/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/Gateway.java
+++ b/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/Gateway.java
@@ -71,8 +71,11 @@
     /** The share of the time in which a leaving endpoint may be used that vanished ones may. */
     private static final double LAPSE_SHARE = 0.7;
 
-    /** The time in milliseconds after the request to end in which callers may still come. */
-    private static final long LEAVING_MILLIS = 3_000;
+    /**
+     * The time in milliseconds after the request to end in which callers may still come: the
+     * balancer asks every second and takes an instance out after two misses.
+     */
+    private static final long LEAVING_MILLIS = 2_600;
 
     /** The share of the time until the forced end after which the process ends by itself. */
     private static final double GRACE_SHARE = 0.9;
@@ -98,6 +101,9 @@
     /** Exchanges beats with other instances. */
     private final FleetChannel fleet;
 
+    /** Admits requests. */
+    private final RequestHandler requests;
+
     /** Serves callers. */
     private final HttpFront front;
 
@@ -152,7 +158,8 @@
                         (long) (settings.drainMillis() * LAPSE_SHARE),
                         context.pool()::closeIdle);
         Supplier<RequestLimits> limits = () -> context.table().limits();
-        front = front(settings.callerAddress(), new RequestHandler(context), limits);
+        requests = new RequestHandler(context);
+        front = front(settings.callerAddress(), requests, limits);
         ready = front(settings.readyAddress(), text(this::readiness), () -> RequestLimits.DEFAULT);
         InetSocketAddress peerAddress = Addresses.parse(settings.peerAddress());
         shown =
@@ -168,6 +175,7 @@
                         settings.seeds(),
                         knowledge,
                         context.loads(),
+                        context.reach(),
                         codec);
         metrics.gauge("peers", fleet::size);
         metrics.gauge("table_version", knowledge::version);
@@ -305,8 +313,11 @@
     private void step() {
         long nowMillis = reactor.currentTimeMillis();
         knowledge.step(nowMillis);
-        context.loads().expire(nowMillis);
-        context.pool().sweep();
+        context.step(nowMillis);
+        if (isEnding && nowMillis - endingSinceMillis >= LEAVING_MILLIS) {
+            requests.end();
+            front.closeIdle();
+        }
         if (isEnding && mayEnd(nowMillis)) {
             LOGGER.atInfo().with(LogFields.COUNT, (int) front.busy()).log("instance_ended");
             front.close();
--- a/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/endpoint/EndpointPool.java
+++ b/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/endpoint/EndpointPool.java
@@ -13,6 +13,7 @@
 import java.util.Deque;
 import java.util.HashMap;
 import java.util.Map;
+import java.util.Set;
 
 /** Keeps connections to endpoints open between requests. It is confined to the event loop. */
 public final class EndpointPool {
@@ -123,6 +124,24 @@
         }
     }
 
+    /**
+     * Closes the idle connections to zones that are out of reach, since they may stay silent.
+     *
+     * @param zones The zones.
+     */
+    public void closeIdleIn(Set<String> zones) {
+        for (Deque<EndpointLink> links : idle.values()) {
+            links.removeIf(
+                    link -> {
+                        boolean isLost = zones.contains(link.endpoint().zone());
+                        if (isLost) {
+                            link.close();
+                        }
+                        return isLost;
+                    });
+        }
+    }
+
     /** Closes the idle connections that have become too old to be used. */
     public void sweep() {
         for (Deque<EndpointLink> links : idle.values()) {
--- a/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/exchange/Attempt.java
+++ b/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/exchange/Attempt.java
@@ -85,6 +85,15 @@
         return isSent;
     }
 
+    /**
+     * Returns {@code true} if an answer began to arrive.
+     *
+     * @return {@code true} if an answer began to arrive.
+     */
+    boolean isStarted() {
+        return head != null;
+    }
+
     /**
      * Connects and sends the request.
      *
--- a/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/exchange/Exchange.java
+++ b/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/exchange/Exchange.java
@@ -4,6 +4,7 @@
 import io.activej.reactor.schedule.ScheduledRunnable;
 import io.chicorytrestle.core.attempt.AttemptState;
 import io.chicorytrestle.core.attempt.NextStep;
+import io.chicorytrestle.core.attempt.Patience;
 import io.chicorytrestle.core.attempt.RefusalReason;
 import io.chicorytrestle.core.placement.Placement;
 import io.chicorytrestle.core.route.Route;
@@ -80,6 +81,9 @@
     /** The endpoints to which no connection could be made. */
     private int missed;
 
+    /** Whether the retry budget was charged for the next attempt. */
+    private boolean isRetryPaid;
+
     /** Whether the request ended. */
     private boolean isOver;
 
@@ -119,6 +123,7 @@
 
     /** Starts to serve the request. */
     void start() {
+        context.begin(this);
         context.budget(service).onFirstAttempt();
         timer = context.reactor().delayBackground(Math.max(1, remainingMillis()), this::expire);
         place();
@@ -129,7 +134,8 @@
         Optional<Placement> chosen =
                 context.picker()
                         .pick(
-                                context.endpoints(service),
+                                context.endpoints(),
+                                service,
                                 route.isSticky() ? request.prompt() : Optional.empty(),
                                 tried,
                                 context.nowMillis());
@@ -155,6 +161,7 @@
         context.metrics().counter("placements_total", placement.reason().text()).inc();
         Attempt begun = new Attempt(context, this, placement);
         attempt = begun;
+        awaitAnswer(begun);
         begun.begin(
                 () ->
                         writer.write(
@@ -166,6 +173,24 @@
                 request.id());
     }
 
+    /**
+     * Plans to go on elsewhere if an endpoint stays silent and the request may be repeated.
+     *
+     * @param begun The attempt.
+     */
+    private void awaitAnswer(Attempt begun) {
+        if (route.repeatability().isIdempotent()) {
+            context.reactor()
+                    .delayBackground(
+                            Patience.millis(route.latencyTargetMillis(), remainingMillis()),
+                            () -> {
+                                if (attempt == begun && !begun.isStarted()) {
+                                    giveUp(begun, "endpoint is silent");
+                                }
+                            });
+        }
+    }
+
     /**
      * Takes note of a request that was written.
      *
@@ -281,8 +306,10 @@
         attempt = null;
         NextStep next = next();
         boolean isRepeat = next == NextStep.REPEAT || next == NextStep.RESUME;
-        if (isRepeat && from.isSent() && !context.budget(service).trySpend()) {
-            next = state(false).next();
+        boolean mustPay = isRepeat && from.isSent() && !isRetryPaid;
+        isRetryPaid = false;
+        if (mustPay && !context.budget(service).trySpend()) {
+            next = state(verdict, false).next();
         }
         LOGGER.atInfo()
                 .with(LogFields.REQUEST, request.id())
@@ -311,19 +338,20 @@
      * @return The next step.
      */
     private NextStep next() {
-        return state(missed < MAXIMUM_CONNECTS).next();
+        return state(verdict, missed < MAXIMUM_CONNECTS).next();
     }
 
     /**
      * Returns the state of the request.
      *
+     * @param assumed Whether the request may have been executed.
      * @param isRetryAllowed Whether another attempt may be made.
      * @return The state.
      */
-    private AttemptState state(boolean isRetryAllowed) {
+    private AttemptState state(Verdict assumed, boolean isRetryAllowed) {
         return new AttemptState(
                 route.repeatability(),
-                verdict,
+                assumed,
                 sends,
                 route.maximumAttempts(),
                 relay.isStarted(),
@@ -387,6 +415,35 @@
         relay.abort();
     }
 
+    /**
+     * Goes on elsewhere if the endpoint is out of reach and the request may be repeated.
+     *
+     * @param zones The zones that are out of reach.
+     */
+    void leaveZones(Set<String> zones) {
+        Attempt running = attempt;
+        if (running != null && zones.contains(running.endpoint().zone())) {
+            giveUp(running, "zone " + running.endpoint().zone() + " is out of reach");
+        }
+    }
+
+    /**
+     * Gives up an attempt if the request can be sent once more.
+     *
+     * @param running The attempt.
+     * @param cause Why.
+     */
+    private void giveUp(Attempt running, String cause) {
+        Verdict worst = running.isSent() ? Verdict.MAY_HAVE_RUN : Verdict.NOT_RUN;
+        NextStep next = state(verdict.and(worst), missed < MAXIMUM_CONNECTS).next();
+        boolean canGoOn = next == NextStep.REPEAT || next == NextStep.RESUME;
+        if (canGoOn && (!running.isSent() || context.budget(service).trySpend())) {
+            isRetryPaid = running.isSent();
+            running.cancel();
+            failed(running, worst, cause);
+        }
+    }
+
     /** Stops work for a caller that left. */
     void callerLeft() {
         if (isOver) {
@@ -406,6 +463,7 @@
      */
     private void finish(HttpResponseStatus status, String outcome) {
         isOver = true;
+        context.end(this);
         if (timer != null && timer.isActive()) {
             timer.cancel();
         }
--- a/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/exchange/GatewayContext.java
+++ b/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/exchange/GatewayContext.java
@@ -1,5 +1,6 @@
 package io.chicorytrestle.gateway.exchange;
 
+import com.google.common.flogger.FluentLogger;
 import io.activej.reactor.nio.NioReactor;
 import io.chicorytrestle.core.blackboard.Blackboard;
 import io.chicorytrestle.core.limit.RetryBudget;
@@ -9,20 +10,27 @@
 import io.chicorytrestle.core.placement.LoadBook;
 import io.chicorytrestle.core.placement.PlacementSettings;
 import io.chicorytrestle.core.placement.PlacementTopics;
-import io.chicorytrestle.core.placement.ServingEndpoint;
+import io.chicorytrestle.core.placement.ServingView;
+import io.chicorytrestle.core.placement.ZoneReach;
 import io.chicorytrestle.core.route.RouteTopics;
 import io.chicorytrestle.core.route.RoutingTable;
 import io.chicorytrestle.gateway.dialect.RequestDialect;
 import io.chicorytrestle.gateway.endpoint.EndpointPool;
 import io.chicorytrestle.gateway.operations.GatewayMetrics;
+import io.chicorytrestle.gateway.operations.LogFields;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.function.Supplier;
 
 /** Holds what all requests of an instance share. It is confined to the event loop's thread. */
 public final class GatewayContext {
 
+    /** Reports zones that are lost and regained. */
+    private static final FluentLogger LOGGER = FluentLogger.forEnclosingClass();
+
     /** The event loop. */
     private final NioReactor reactor;
 
@@ -44,6 +52,9 @@
     /** Judges endpoints. */
     private final EndpointHealth health = new EndpointHealth();
 
+    /** Judges zones. */
+    private final ZoneReach reach;
+
     /** Remembers who holds prompt parts. */
     private final HolderBook holders = new HolderBook();
 
@@ -53,6 +64,12 @@
     /** Makes the retry budget of a service. */
     private final Supplier<RetryBudget> budgetFactory;
 
+    /** The requests that are being served. */
+    private final Set<Exchange> exchanges = new HashSet<>();
+
+    /** The zones that were out of reach at the last step. */
+    private Set<String> unreachableBefore = Set.of();
+
     /** The retry budgets by service. */
     private final Map<String, RetryBudget> budgets = new HashMap<>();
 
@@ -78,8 +95,9 @@
         this.dialect = dialect;
         this.metrics = metrics;
         this.budgetFactory = budgetFactory;
+        reach = new ZoneReach(placement.zone());
         pool = new EndpointPool(reactor, dialect, metrics.counter("endpoint_connections_total"));
-        picker = new EndpointPicker(placement, loads, health, holders);
+        picker = new EndpointPicker(placement, loads, health, reach, holders);
     }
 
     /**
@@ -110,13 +128,61 @@
     }
 
     /**
-     * Returns the endpoints of a service that may take work.
+     * Returns the known endpoints.
      *
-     * @param service The name of the service.
-     * @return The endpoints.
+     * @return The known endpoints.
+     */
+    ServingView endpoints() {
+        return blackboard.read(PlacementTopics.SERVING);
+    }
+
+    /**
+     * Returns the judgement of zones.
+     *
+     * @return The judgement of zones.
+     */
+    public ZoneReach reach() {
+        return reach;
+    }
+
+    /**
+     * Takes note of a request that is being served.
+     *
+     * @param exchange The request.
+     */
+    void begin(Exchange exchange) {
+        exchanges.add(exchange);
+    }
+
+    /**
+     * Takes note of a request that ended.
+     *
+     * @param exchange The request.
+     */
+    void end(Exchange exchange) {
+        exchanges.remove(exchange);
+    }
+
+    /**
+     * Moves what can be repeated away from zones that are out of reach.
+     *
+     * @param nowMillis The present time in milliseconds.
      */
-    List<ServingEndpoint> endpoints(String service) {
-        return blackboard.read(PlacementTopics.SERVING).of(service);
+    public void step(long nowMillis) {
+        loads.expire(nowMillis);
+        pool.sweep();
+        Set<String> unreachable = reach.unreachable(nowMillis);
+        if (!unreachable.equals(unreachableBefore)) {
+            LOGGER.atWarning()
+                    .with(LogFields.OUTCOME, unreachable.toString())
+                    .with(LogFields.REASON, unreachableBefore.toString())
+                    .log("unreachable_zones_changed");
+            unreachableBefore = unreachable;
+        }
+        if (!unreachable.isEmpty()) {
+            List.copyOf(exchanges).forEach(exchange -> exchange.leaveZones(unreachable));
+            pool.closeIdleIn(unreachable);
+        }
     }
 
     /**
--- a/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/exchange/RequestHandler.java
+++ b/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/exchange/RequestHandler.java
@@ -27,6 +27,9 @@
     /** What all requests share. */
     private final GatewayContext context;
 
+    /** Whether requests are refused, since this instance is about to end. */
+    private boolean isEnding;
+
     /**
      * Creates a new handler.
      *
@@ -36,6 +39,11 @@
         this.context = context;
     }
 
+    /** Refuses requests from now on, since they could not be completed before the forced end. */
+    public void end() {
+        isEnding = true;
+    }
+
     @Override
     public Runnable handle(HttpRequest head, byte[] body, Caller caller) {
         GatewayRequest request;
@@ -46,8 +54,8 @@
             return RequestHandler::stopNothing;
         }
         RoutingTable table = context.table();
-        if (!table.isPublished()) {
-            refuse(request, caller);
+        if (isEnding || !table.isPublished()) {
+            refuse(request, caller, isEnding ? RefusalReason.ENDING : RefusalReason.NO_TABLE);
             return RequestHandler::stopNothing;
         }
         Optional<Route> route = table.route(request.host(), request.path());
@@ -70,27 +78,24 @@
     private static void stopNothing() {}
 
     /**
-     * Refuses a request before a routing table is known.
+     * Refuses a request before it is routed.
      *
      * @param request The request.
      * @param caller The caller.
+     * @param reason Why.
      */
-    private void refuse(GatewayRequest request, Caller caller) {
+    private void refuse(GatewayRequest request, Caller caller, RefusalReason reason) {
         long remainingMillis = request.deadlineMillis().orElse(ASSUMED_DEADLINE_MILLIS);
         long retryAfterMillis =
-                RefusalReason.NO_TABLE.retryAfterMillis(
-                        remainingMillis, ThreadLocalRandom.current().nextDouble());
-        context.metrics().counter("refusals_total", RefusalReason.NO_TABLE.text()).inc();
+                reason.retryAfterMillis(remainingMillis, ThreadLocalRandom.current().nextDouble());
+        context.metrics().counter("refusals_total", reason.text()).inc();
         LOGGER.atInfo()
                 .with(LogFields.REQUEST, request.id())
-                .with(LogFields.REASON, RefusalReason.NO_TABLE.text())
+                .with(LogFields.REASON, reason.text())
                 .with(LogFields.RETRY_AFTER_MILLIS, retryAfterMillis)
                 .log("request_refused");
         new AnswerRelay(caller)
-                .own(
-                        HttpResponseStatus.SERVICE_UNAVAILABLE,
-                        RefusalReason.NO_TABLE.text(),
-                        retryAfterMillis);
+                .own(HttpResponseStatus.SERVICE_UNAVAILABLE, reason.text(), retryAfterMillis);
     }
 
     /**
--- a/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/fleet/FleetChannel.java
+++ b/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/fleet/FleetChannel.java
@@ -6,6 +6,7 @@
 import io.activej.reactor.net.SocketSettings;
 import io.activej.reactor.nio.NioReactor;
 import io.chicorytrestle.core.placement.LoadBook;
+import io.chicorytrestle.core.placement.ZoneReach;
 import io.chicorytrestle.core.route.RoutingTable;
 import io.chicorytrestle.gateway.link.Addresses;
 import io.chicorytrestle.gateway.operations.LogFields;
@@ -58,6 +59,9 @@
     /** Takes the peers' requests in flight. */
     private final LoadBook loads;
 
+    /** Judges zones. */
+    private final ZoneReach reach;
+
     /** Reads routing tables as they were published. */
     private final TableCodec codec;
 
@@ -96,6 +100,7 @@
      * @param seeds The addresses at which the first instances may be met.
      * @param knowledge What this instance believes.
      * @param loads Takes the peers' requests in flight.
+     * @param reach Judges zones by the instances that are heard.
      * @param codec Reads routing tables as they were published.
      */
     public FleetChannel(
@@ -104,11 +109,13 @@
             List<String> seeds,
             FleetKnowledge knowledge,
             LoadBook loads,
+            ZoneReach reach,
             TableCodec codec) {
         this.reactor = reactor;
         this.self = self;
         this.knowledge = knowledge;
         this.loads = loads;
+        this.reach = reach;
         this.codec = codec;
         Random random = new Random();
         incarnation = random.nextLong();
@@ -260,6 +267,7 @@
                     .with(LogFields.COUNT, members.size())
                     .log("peer_found");
         }
+        reach.heard(beat.sender().zone(), nowMillis);
         loads.peer(beat.sender().name(), beat.counts(), nowMillis);
         for (String leaving : beat.leaving()) {
             knowledge.leaving(leaving, beat.sender().name(), nowMillis);
--- a/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/fleet/FleetCodec.java
+++ b/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/fleet/FleetCodec.java
@@ -31,6 +31,7 @@
      *
      * @param message The message.
      * @return The bytes.
+     * @throws IllegalStateException Never, since the output is memory.
      */
     static byte[] encode(FleetMessage message) {
         try (MessageBufferPacker packer = MessagePack.newDefaultBufferPacker()) {
--- a/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/fleet/FleetKnowledge.java
+++ b/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/fleet/FleetKnowledge.java
@@ -114,7 +114,7 @@
      */
     public void changed(ServingEndpoint endpoint, long revision, long nowMillis) {
         endpointRevision = Math.max(endpointRevision, revision);
-        publish(directory.put(endpoint).stream().toList(), "store", nowMillis);
+        publish(directory.put(endpoint, nowMillis).stream().toList(), "store", nowMillis);
     }
 
     /**
@@ -137,7 +137,7 @@
      * @param nowMillis The present time in milliseconds.
      */
     public void leaving(String incarnation, String peer, long nowMillis) {
-        Optional<EndpointDirectory.Change> change = directory.leave(incarnation);
+        Optional<EndpointDirectory.Change> change = directory.leave(incarnation, nowMillis);
         publish(change.stream().toList(), peer, nowMillis);
     }
 
--- a/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/front/HttpFront.java
+++ b/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/front/HttpFront.java
@@ -97,6 +97,11 @@
     /** Accepts no more connections and closes those without a request. */
     public void close() {
         server.close();
+        closeIdle();
+    }
+
+    /** Closes the connections without a request. */
+    public void closeIdle() {
         List.copyOf(connections).stream()
                 .filter(CallerConnection::isIdle)
                 .forEach(CallerConnection::close);
