--- a/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/Gateway.java
+++ b/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/Gateway.java
@@ -177,6 +177,11 @@
                         context.loads(),
                         context.reach(),
                         codec);
+        showGauges();
+    }
+
+    /** Shows figures that are read when asked for. */
+    private void showGauges() {
         metrics.gauge("peers", fleet::size);
         metrics.gauge("table_version", knowledge::version);
         metrics.gauge("caller_connections", front::connections);
