--- /dev/null
+++ b/chicorytrestle-core/src/test/java/io/chicorytrestle/core/placement/EndpointDirectoryTest.java
@@ -0,0 +1,85 @@
+package io.chicorytrestle.core.placement;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.contains;
+import static org.hamcrest.Matchers.empty;
+import static org.hamcrest.Matchers.equalTo;
+import static org.hamcrest.Matchers.hasItem;
+
+import java.util.List;
+import org.junit.jupiter.api.Test;
+
+class EndpointDirectoryTest {
+
+    private static final ServingEndpoint FIRST = Endpoints.ready("1", "a");
+
+    private static final ServingEndpoint SECOND = Endpoints.ready("2", "a");
+
+    private static final ServingEndpoint THIRD = Endpoints.ready("3", "a");
+
+    private final EndpointDirectory directory = new EndpointDirectory(1_400);
+
+    @Test
+    void testViewWhenEndpointLeavesAndAStaleEntryArrives() {
+        directory.replace(List.of(FIRST, SECOND), 0);
+        directory.put(FIRST.withLeaving(), 1);
+        directory.put(FIRST, 2);
+
+        assertThat(directory.view(3).of(Endpoints.SERVICE), contains(SECOND));
+    }
+
+    @Test
+    void testViewWhenEndpointIsBornAgainAfterLeaving() {
+        directory.put(FIRST.withLeaving(), 0);
+        ServingEndpoint reborn =
+                new ServingEndpoint("1", Endpoints.SERVICE, FIRST.address(), "a", 64, false, 99);
+        directory.put(reborn, 1);
+
+        assertThat(directory.view(2).of(Endpoints.SERVICE), contains(reborn));
+    }
+
+    @Test
+    void testViewWhenOneOfManyEntriesVanishes() {
+        directory.replace(List.of(FIRST, SECOND, THIRD), 0);
+        directory.remove("1", 10);
+
+        assertThat(directory.view(11).of(Endpoints.SERVICE), contains(SECOND, THIRD));
+    }
+
+    @Test
+    void testViewWhenMostEntriesLapseTogether() {
+        directory.replace(List.of(FIRST, SECOND, THIRD), 0);
+        directory.replace(List.of(THIRD), 10);
+
+        assertThat(directory.view(11).of(Endpoints.SERVICE), hasItem(FIRST));
+        assertThat(directory.view(1_410).of(Endpoints.SERVICE), contains(THIRD));
+    }
+
+    @Test
+    void testViewWhenLeavingEntryVanishes() {
+        directory.put(FIRST.withLeaving(), 0);
+        directory.remove("1", 10);
+
+        assertThat(directory.view(11).of(Endpoints.SERVICE), empty());
+    }
+
+    @Test
+    void testLeaveWhenPeerTellsBeforeTheStore() {
+        directory.replace(List.of(FIRST, SECOND), 0);
+
+        assertThat(
+                directory.leave(FIRST.incarnation(), 1).map(EndpointDirectory.Change::kind).get(),
+                equalTo(EndpointDirectory.Kind.LEAVING));
+        assertThat(directory.view(2).of(Endpoints.SERVICE), contains(SECOND));
+        assertThat(directory.view(2).leaving(), contains(FIRST.withLeaving()));
+    }
+
+    @Test
+    void testViewWhenEndpointJoinsOthers() {
+        directory.replace(List.of(FIRST), 0);
+        directory.put(SECOND, 10);
+
+        assertThat(directory.view(11).newcomers(), contains(SECOND.incarnation()));
+        assertThat(directory.view(10_010).newcomers(), empty());
+    }
+}
--- /dev/null
+++ b/chicorytrestle-core/src/test/java/io/chicorytrestle/core/placement/EndpointPickerTest.java
@@ -0,0 +1,168 @@
+package io.chicorytrestle.core.placement;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.equalTo;
+import static org.hamcrest.Matchers.is;
+import static org.hamcrest.Matchers.not;
+
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import org.junit.jupiter.api.Test;
+
+class EndpointPickerTest {
+
+    private static final ServingEndpoint FIRST = Endpoints.ready("1", "a");
+
+    private static final ServingEndpoint SECOND = Endpoints.ready("2", "b");
+
+    private static final ServingEndpoint THIRD = Endpoints.ready("3", "c");
+
+    private static final ServingView VIEW = Endpoints.view(FIRST, SECOND, THIRD);
+
+    private final LoadBook loads = new LoadBook();
+
+    private final EndpointHealth health = new EndpointHealth();
+
+    private final ZoneReach reach = new ZoneReach("a");
+
+    private final EndpointPicker picker =
+            new EndpointPicker(
+                    new PlacementSettings("a", 1.6, 2), loads, health, reach, new HolderBook());
+
+    @Test
+    void testPickWhenTwoInstancesSeeTheSamePrompt() {
+        EndpointPicker other =
+                new EndpointPicker(
+                        new PlacementSettings("c", 1.6, 2),
+                        new LoadBook(),
+                        new EndpointHealth(),
+                        new ZoneReach("c"),
+                        new HolderBook());
+
+        assertThat(
+                pick(VIEW, "chat").endpoint(),
+                equalTo(
+                        other.pick(
+                                        VIEW,
+                                        Endpoints.SERVICE,
+                                        Optional.of(Endpoints.prompt("chat")),
+                                        Set.of(),
+                                        0)
+                                .get()
+                                .endpoint()));
+    }
+
+    @Test
+    void testPickWhenHomeIsAtItsLoadBound() {
+        ServingEndpoint home = pick(VIEW, "chat").endpoint();
+        loads.report(home.incarnation(), 60, 0);
+
+        Placement placement = pick(VIEW, "chat");
+
+        assertThat(placement.endpoint(), is(not(home)));
+        assertThat(placement.reason(), equalTo(PlacementReason.SPILL));
+    }
+
+    @Test
+    void testPickWhenHomeBrokeConnections() {
+        ServingEndpoint home = pick(VIEW, "chat").endpoint();
+        health.broke(home.incarnation(), 0);
+
+        assertThat(pick(VIEW, "chat").endpoint(), is(not(home)));
+    }
+
+    @Test
+    void testPickWhenZoneOfHomeIsOutOfReach() {
+        reach.heard("a", 2_000);
+        reach.heard("b", 0);
+        reach.heard("c", 0);
+
+        Placement placement =
+                picker.pick(
+                                VIEW,
+                                Endpoints.SERVICE,
+                                Optional.of(Endpoints.prompt("chat")),
+                                Set.of(),
+                                2_100)
+                        .get();
+
+        assertThat(placement.endpoint(), equalTo(FIRST));
+    }
+
+    @Test
+    void testPickWhenNewcomerBecameHome() {
+        ServingEndpoint home = pick(VIEW, "chat").endpoint();
+        List<ServingEndpoint> others =
+                VIEW.of(Endpoints.SERVICE).stream()
+                        .filter(endpoint -> !endpoint.equals(home))
+                        .toList();
+        ServingView joined =
+                new ServingView(
+                        Map.of(Endpoints.SERVICE, VIEW.of(Endpoints.SERVICE)),
+                        List.of(),
+                        Set.of(home.incarnation()));
+        ServingEndpoint earlier = HomeOrder.of(others, new PromptPart("chat", 400)).get(0);
+
+        assertThat(pick(joined, "chat").fetchAddress(), equalTo(Optional.of(earlier.address())));
+    }
+
+    @Test
+    void testPickWhenEarlierHomeIsLeaving() {
+        ServingEndpoint home = pick(VIEW, "chat").endpoint();
+        List<ServingEndpoint> others =
+                VIEW.of(Endpoints.SERVICE).stream()
+                        .filter(endpoint -> !endpoint.equals(home))
+                        .toList();
+        ServingView left =
+                new ServingView(
+                        Map.of(Endpoints.SERVICE, others), List.of(home.withLeaving()), Set.of());
+
+        Placement placement = pick(left, "chat");
+
+        assertThat(placement.endpoint(), is(not(home)));
+        assertThat(placement.fetchAddress(), equalTo(Optional.of(home.address())));
+    }
+
+    @Test
+    void testPickWhenPlainRequestFindsLocalEndpointBusy() {
+        loads.report(FIRST.incarnation(), 40, 0);
+
+        Placement placement =
+                picker.pick(VIEW, Endpoints.SERVICE, Optional.empty(), Set.of(), 0).get();
+
+        assertThat(placement.endpoint(), is(not(FIRST)));
+        assertThat(placement.reason(), equalTo(PlacementReason.LEAST_LOADED));
+    }
+
+    @Test
+    void testPickWhenOneEndpointFailsMostRequests() {
+        for (int answers = 0; answers < 20; answers++) {
+            health.answered(FIRST.incarnation(), false);
+            health.answered(SECOND.incarnation(), true);
+            health.answered(THIRD.incarnation(), true);
+        }
+
+        assertThat(
+                picker.pick(VIEW, Endpoints.SERVICE, Optional.empty(), Set.of(), 0)
+                        .get()
+                        .endpoint(),
+                is(not(FIRST)));
+    }
+
+    @Test
+    void testPickWhenAllEndpointsWereTried() {
+        Set<String> tried = Set.of(FIRST.incarnation(), SECOND.incarnation(), THIRD.incarnation());
+
+        assertThat(
+                picker.pick(VIEW, Endpoints.SERVICE, Optional.empty(), tried, 0),
+                equalTo(Optional.empty()));
+    }
+
+    private Placement pick(ServingView view, String shared) {
+        return picker.pick(
+                        view, Endpoints.SERVICE, Optional.of(Endpoints.prompt(shared)), Set.of(), 0)
+                .get();
+    }
+}
