--- a/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/Gateway.java
+++ b/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/Gateway.java
@@ -285,9 +285,14 @@
         ended.countDown();
     }
 
+    /** Asks the instance to end as a signal does, without waiting. Any thread may call it. */
+    public void stop() {
+        reactor.execute(this::end);
+    }
+
     /** Asks the event loop to end and waits until it did. */
     private void awaitEnd() {
-        reactor.execute(this::end);
+        stop();
         try {
             if (!ended.await(settings.graceMillis(), TimeUnit.MILLISECONDS)) {
                 System.err.println("Instance ends with requests under way");
--- a/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/front/CallerConnection.java
+++ b/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/front/CallerConnection.java
@@ -135,8 +135,8 @@
      * @return {@code true} if the request may go on.
      */
     private boolean receivedHead(HttpRequest request) {
-        if (!StrictRequestDecoder.hasClearLength(request)) {
-            refuse(HttpResponseStatus.BAD_REQUEST, "length of the request is ambiguous");
+        if (!StrictRequestDecoder.isUnambiguous(request)) {
+            refuse(HttpResponseStatus.BAD_REQUEST, "framing of the request is ambiguous");
             return false;
         }
         if (HttpUtil.getContentLength(request, 0L) > limits.bodyBytes()) {
