--- a/chicorytrestle-core/src/main/java/io/chicorytrestle/core/placement/LoadBook.java
+++ b/chicorytrestle-core/src/main/java/io/chicorytrestle/core/placement/LoadBook.java
@@ -9,7 +9,7 @@
  */
 public final class LoadBook {
 
-    /** The age in milliseconds beyond which a peer's counts are ignored: three lost beats. */
+    /** The age in milliseconds beyond which a peer's counts are ignored: two lost beats. */
     private static final long PEER_COUNT_AGE_MILLIS = 2_000;
 
     /** The age in milliseconds beyond which a reported load is ignored: about one short request. */
--- a/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/Gateway.java
+++ b/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/Gateway.java
@@ -6,7 +6,9 @@
 import io.chicorytrestle.core.blackboard.Blackboard;
 import io.chicorytrestle.core.limit.RetryBudget;
 import io.chicorytrestle.core.placement.PlacementSettings;
+import io.chicorytrestle.core.placement.PlacementTopics;
 import io.chicorytrestle.core.route.RequestLimits;
+import io.chicorytrestle.core.route.RouteTopics;
 import io.chicorytrestle.gateway.dialect.RequestDialect;
 import io.chicorytrestle.gateway.exchange.GatewayContext;
 import io.chicorytrestle.gateway.exchange.RequestHandler;
@@ -50,11 +52,10 @@
      */
     private static final long BEAT_MILLIS = 400;
 
-    /** The bytes of a megabyte. */
-    private static final long MEGABYTE = 1_048_576;
-
-    /** The share of the memory that bodies of requests may take. */
-    private static final int BODY_SHARE = 16;
+    /**
+     * The part of the heap that bodies of requests may take; the same is copied when they are sent.
+     */
+    private static final int BODY_SHARE = 4;
 
     /** The retries that one instance may save up: its part of the fleet's slack, rounded up. */
     private static final double SAVED_RETRIES = 2;
@@ -159,6 +160,8 @@
                         context.pool()::closeIdle);
         Supplier<RequestLimits> limits = () -> context.table().limits();
         requests = new RequestHandler(context);
+        blackboard.listen(RouteTopics.ROUTING_TABLE, table -> requests.informed());
+        blackboard.listen(PlacementTopics.SERVING, view -> requests.informed());
         front = front(settings.callerAddress(), requests, limits);
         ready = front(settings.readyAddress(), text(this::readiness), () -> RequestLimits.DEFAULT);
         InetSocketAddress peerAddress = Addresses.parse(settings.peerAddress());
@@ -207,7 +210,7 @@
                                 .with(LogFields.STATUS, status.code())
                                 .with(LogFields.REASON, reason)
                                 .log("request_malformed"),
-                settings.memoryMegabytes() * MEGABYTE / BODY_SHARE);
+                Runtime.getRuntime().maxMemory() / BODY_SHARE);
     }
 
     /**
--- a/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/exchange/Exchange.java
+++ b/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/exchange/Exchange.java
@@ -14,7 +14,6 @@
 import io.chicorytrestle.gateway.front.Caller;
 import io.chicorytrestle.gateway.operations.LogFields;
 import io.netty.buffer.ByteBuf;
-import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpStatusClass;
@@ -94,26 +93,26 @@
      * @param request The request.
      * @param route The route.
      * @param workspace The workspace, if the route requires one.
-     * @param head The head as the caller sent it.
-     * @param body The body.
+     * @param writer Builds requests to endpoints.
      * @param caller Receives the answer.
+     * @param arrivedMillis The time of arrival in milliseconds.
      */
     Exchange(
             GatewayContext context,
             GatewayRequest request,
             Route route,
             Optional<Workspace> workspace,
-            HttpRequest head,
-            byte[] body,
-            Caller caller) {
+            RequestWriter writer,
+            Caller caller,
+            long arrivedMillis) {
         this.context = context;
         this.request = request;
         this.route = route;
         this.workspace = workspace;
         service = route.service(RequestDraw.of(request.id()));
-        writer = new RequestWriter(context.dialect(), head, body);
+        this.writer = writer;
         relay = new AnswerRelay(caller);
-        arrivedMillis = context.nowMillis();
+        this.arrivedMillis = arrivedMillis;
         dueMillis =
                 arrivedMillis
                         + Math.min(
--- a/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/exchange/GatewayContext.java
+++ b/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/exchange/GatewayContext.java
@@ -136,6 +136,15 @@
         return blackboard.read(PlacementTopics.SERVING);
     }
 
+    /**
+     * Returns {@code true} if requests can be routed and placed.
+     *
+     * @return {@code true} if a routing table and endpoints are known.
+     */
+    boolean isInformed() {
+        return table().isPublished() && !endpoints().endpoints().isEmpty();
+    }
+
     /**
      * Returns the judgement of zones.
      *
--- a/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/exchange/RequestHandler.java
+++ b/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/exchange/RequestHandler.java
@@ -12,10 +12,16 @@
 import io.chicorytrestle.gateway.operations.LogFields;
 import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpResponseStatus;
+import java.util.LinkedHashSet;
+import java.util.List;
 import java.util.Optional;
+import java.util.Set;
 import java.util.concurrent.ThreadLocalRandom;
 
-/** Admits requests: finds the route and the workspace, and starts an exchange. */
+/**
+ * Admits requests: finds the route and the workspace, and starts an exchange. A process that has
+ * just started holds requests for the moment in which it learns the routing table.
+ */
 public final class RequestHandler implements CallerHandler {
 
     /** Reports decisions. */
@@ -24,9 +30,18 @@
     /** The time in milliseconds that a caller is assumed to have if it stated none. */
     private static final long ASSUMED_DEADLINE_MILLIS = 1_000;
 
+    /** The time in milliseconds for which a request is held: a start learns the table in less. */
+    private static final long LONGEST_HOLD_MILLIS = 500;
+
+    /** The share of a caller's time for which a request is held at the most. */
+    private static final double HOLD_SHARE = 0.25;
+
     /** What all requests share. */
     private final GatewayContext context;
 
+    /** The requests that wait for the routing table, in order of arrival. */
+    private final Set<Held> held = new LinkedHashSet<>();
+
     /** Whether requests are refused, since this instance is about to end. */
     private boolean isEnding;
 
@@ -44,6 +59,15 @@
         isEnding = true;
     }
 
+    /** Serves the requests that waited, if the routing table and endpoints are known now. */
+    public void informed() {
+        if (context.isInformed()) {
+            List<Held> waiting = List.copyOf(held);
+            held.clear();
+            waiting.forEach(Held::serve);
+        }
+    }
+
     @Override
     public Runnable handle(HttpRequest head, byte[] body, Caller caller) {
         GatewayRequest request;
@@ -53,25 +77,17 @@
             reject("unknown", caller, HttpResponseStatus.BAD_REQUEST, exception.reason());
             return RequestHandler::stopNothing;
         }
-        RoutingTable table = context.table();
-        if (isEnding || !table.isPublished()) {
-            refuse(request, caller, isEnding ? RefusalReason.ENDING : RefusalReason.NO_TABLE);
+        if (isEnding) {
+            refuse(request, caller, RefusalReason.ENDING);
             return RequestHandler::stopNothing;
         }
-        Optional<Route> route = table.route(request.host(), request.path());
-        if (route.isEmpty()) {
-            reject(request.id(), caller, HttpResponseStatus.NOT_FOUND, "no route matches");
-            return RequestHandler::stopNothing;
+        Held arrived = new Held(request, head, body, caller, context.nowMillis());
+        if (context.isInformed()) {
+            arrived.serve();
+        } else {
+            arrived.hold();
         }
-        Optional<Workspace> workspace = request.key().flatMap(table::workspace);
-        if (table.requiresKey(route.get()) && workspace.isEmpty()) {
-            reject(request.id(), caller, HttpResponseStatus.UNAUTHORIZED, "key is unknown");
-            return RequestHandler::stopNothing;
-        }
-        Exchange exchange =
-                new Exchange(context, request, route.get(), workspace, head, body, caller);
-        exchange.start();
-        return exchange::callerLeft;
+        return arrived::callerLeft;
     }
 
     /** Stops nothing, since the request was answered. */
@@ -116,4 +132,99 @@
                 .log("request_rejected");
         new AnswerRelay(caller).own(status, reason, 0);
     }
+
+    /** A request that arrived, until it is routed. */
+    private final class Held {
+
+        /** The request. */
+        private final GatewayRequest request;
+
+        /** The head as the caller sent it. */
+        private final HttpRequest head;
+
+        /** The body. */
+        private final byte[] body;
+
+        /** Receives the answer. */
+        private final Caller caller;
+
+        /** The time of arrival in milliseconds. */
+        private final long arrivedMillis;
+
+        /** The exchange, or empty before the request is routed. */
+        private Optional<Exchange> exchange = Optional.empty();
+
+        /**
+         * Creates a new arrival.
+         *
+         * @param request The request.
+         * @param head The head as the caller sent it.
+         * @param body The body.
+         * @param caller Receives the answer.
+         * @param arrivedMillis The time of arrival in milliseconds.
+         */
+        private Held(
+                GatewayRequest request,
+                HttpRequest head,
+                byte[] body,
+                Caller caller,
+                long arrivedMillis) {
+            this.request = request;
+            this.head = head;
+            this.body = body;
+            this.caller = caller;
+            this.arrivedMillis = arrivedMillis;
+        }
+
+        /** Waits for the routing table. */
+        private void hold() {
+            long deadlineMillis = request.deadlineMillis().orElse(ASSUMED_DEADLINE_MILLIS);
+            long holdMillis = Math.min(LONGEST_HOLD_MILLIS, (long) (deadlineMillis * HOLD_SHARE));
+            held.add(this);
+            context.reactor()
+                    .delayBackground(
+                            Math.max(1, holdMillis),
+                            () -> {
+                                if (held.remove(this)) {
+                                    serve();
+                                }
+                            });
+        }
+
+        /** Routes the request. */
+        private void serve() {
+            RoutingTable table = context.table();
+            if (!table.isPublished()) {
+                refuse(request, caller, RefusalReason.NO_TABLE);
+                return;
+            }
+            Optional<Route> route = table.route(request.host(), request.path());
+            if (route.isEmpty()) {
+                reject(request.id(), caller, HttpResponseStatus.NOT_FOUND, "no route matches");
+                return;
+            }
+            Optional<Workspace> workspace = request.key().flatMap(table::workspace);
+            if (table.requiresKey(route.get()) && workspace.isEmpty()) {
+                reject(request.id(), caller, HttpResponseStatus.UNAUTHORIZED, "key is unknown");
+                return;
+            }
+            Exchange begun =
+                    new Exchange(
+                            context,
+                            request,
+                            route.get(),
+                            workspace,
+                            new RequestWriter(context.dialect(), head, body),
+                            caller,
+                            arrivedMillis);
+            exchange = Optional.of(begun);
+            begun.start();
+        }
+
+        /** Stops work for a caller that left. */
+        private void callerLeft() {
+            held.remove(this);
+            exchange.ifPresent(Exchange::callerLeft);
+        }
+    }
 }
--- a/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/fleet/FleetMembers.java
+++ b/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/fleet/FleetMembers.java
@@ -19,8 +19,14 @@
     /** The instances to which a beat goes in a larger fleet, so that its cost stays the same. */
     static final int FANOUT = 12;
 
-    /** The silence in milliseconds after which an instance counts as out of reach: four beats. */
-    static final long FRESH_MILLIS = 2_000;
+    /** The silence in milliseconds after which an instance counts as out of reach: two beats. */
+    static final long FRESH_MILLIS = 2_800;
+
+    /** The most beats of which one goes to an instance of another zone. */
+    private static final int LONGEST_STRIDE = 3;
+
+    /** The instances of a zone of which some instance of another zone hears one at each beat. */
+    private static final int STRIDE_INSTANCES = 3;
 
     /** The silence in milliseconds after which an instance is forgotten. */
     static final long FORGET_MILLIS = 20_000;
@@ -43,6 +49,9 @@
     /** The known instances by address. */
     private final Map<String, Member> members = new HashMap<>();
 
+    /** The beats that were sent. */
+    private int beats;
+
     /**
      * Creates a new list.
      *
@@ -112,8 +121,17 @@
      */
     List<String> targets(long nowMillis) {
         List<String> targets = new ArrayList<>();
+        beats++;
+        int stride = stride();
         for (Member member : members.values()) {
             boolean isFresh = nowMillis - member.heardMillis() <= FRESH_MILLIS;
+            boolean isTurn =
+                    member.peer().zone().equals(self.zone())
+                            || Math.floorMod(member.peer().address().hashCode() + beats, stride)
+                                    == 0;
+            if (isFresh && !isTurn) {
+                continue;
+            }
             if (isFresh || random.nextDouble() < SILENT_SHARE) {
                 targets.add(member.peer().address());
             }
@@ -131,6 +149,20 @@
         return targets;
     }
 
+    /**
+     * Returns how many beats pass between two that go to an instance of another zone. The larger
+     * the own zone, the more of its instances another zone hears, so that each can speak less.
+     *
+     * @return The number of beats.
+     */
+    private int stride() {
+        long ownZone =
+                members.values().stream()
+                        .filter(member -> member.peer().zone().equals(self.zone()))
+                        .count();
+        return (int) Math.max(1, Math.min(LONGEST_STRIDE, (ownZone + 1) / STRIDE_INSTANCES));
+    }
+
     /**
      * Returns some known instances for a beat.
      *
--- a/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/link/HttpCalls.java
+++ b/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/link/HttpCalls.java
@@ -24,6 +24,7 @@
 import java.time.Duration;
 import java.util.ArrayDeque;
 import java.util.Deque;
+import java.util.Map;
 import org.jspecify.annotations.Nullable;
 
 /**
@@ -67,6 +68,18 @@
      * @return The answer, or why there is none.
      */
     public Promise<Answer> get(String uri, long timeoutMillis) {
+        return get(uri, Map.of(), timeoutMillis);
+    }
+
+    /**
+     * Reads a document.
+     *
+     * @param uri The path with the query.
+     * @param headers The headers beside the host.
+     * @param timeoutMillis The time in milliseconds within which the whole answer must arrive.
+     * @return The answer, or why there is none.
+     */
+    public Promise<Answer> get(String uri, Map<String, String> headers, long timeoutMillis) {
         SettablePromise<Answer> result = new SettablePromise<>();
         FullHttpRequest request =
                 new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET, uri);
@@ -74,6 +87,7 @@
                 .set(
                         HttpHeaderNames.HOST,
                         address.getAddress().getHostAddress() + ':' + address.getPort());
+        headers.forEach(request.headers()::set);
         Connection kept = idle.pollFirst();
         if (kept != null) {
             kept.begin(request, result, timeoutMillis);
--- a/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/settings/GatewaySettings.java
+++ b/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/settings/GatewaySettings.java
@@ -12,7 +12,6 @@
  * @param peerAddress The address at which other instances are met.
  * @param seeds The addresses of instances that may be running.
  * @param storeAddress The address of the metadata store.
- * @param memoryMegabytes The memory beyond which the process is ended.
  * @param graceMillis The time in milliseconds between the request to end and the forced end.
  * @param drainMillis The time in milliseconds after which a leaving endpoint gets no request.
  * @param retryRatio The retries that are allowed for each request, fleet-wide.
@@ -27,7 +26,6 @@
         String peerAddress,
         List<String> seeds,
         String storeAddress,
-        long memoryMegabytes,
         long graceMillis,
         long drainMillis,
         double retryRatio,
--- a/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/settings/SettingsParser.java
+++ b/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/settings/SettingsParser.java
@@ -62,7 +62,6 @@
                         address("peer_address"),
                         addresses("seeds"),
                         address("store_address"),
-                        (long) number("memory_mb", 1),
                         (long) (number("grace_s", 0) * SECOND_MILLIS),
                         (long) number("drain_ms", 0),
                         number("retry_ratio", 0),
