Re-read changed settings, and watch signals in one place

Cause: SIGHUP ended an instance, and a settings file that changed without a signal was not noticed. Change: the daemon's signal watch moves to the core and serves both programs; the gateway takes changed seeds.

--- a/chicorytrestle-daemon/src/main/java/io/chicorytrestle/daemon/SignalWatch.java
+++ b/chicorytrestle-core/src/main/java/io/chicorytrestle/core/process/SignalWatch.java
@@ -1,28 +1,32 @@
-package io.chicorytrestle.daemon;
+package io.chicorytrestle.core.process;
 
 import java.lang.reflect.InvocationHandler;
 import java.lang.reflect.Proxy;
 import java.util.List;
 
-/** Watches for the operating system's requests to end this process. */
-final class SignalWatch {
+/** Watches for the operating system's signals to this process. */
+public final class SignalWatch {
 
     /** The signals that ask a process to end. */
-    private static final List<String> SIGNALS = List.of("TERM", "INT");
+    public static final List<String> END = List.of("TERM", "INT");
+
+    /** The signal that tells that the settings changed. */
+    public static final List<String> RELOAD = List.of("HUP");
 
     /** Prevents instances. */
     private SignalWatch() {}
 
     /**
-     * Calls an action at each signal that asks this process to end, in place of its end.
+     * Calls an action at each of some signals, in place of what the signal does by itself.
      *
      * <p>The platform offers signals only in a module without compile-time guarantees, so that it
      * is reached by reflection.
      *
+     * @param signals The names of the signals.
      * @param action The action, which is called by a thread of its own for each signal.
      * @throws IllegalStateException If the platform offers no signals.
      */
-    static void watch(Runnable action) {
+    public static void watch(List<String> signals, Runnable action) {
         try {
             Class<?> signal = Class.forName("sun.misc.Signal");
             Class<?> handler = Class.forName("sun.misc.SignalHandler");
@@ -38,7 +42,7 @@
                             SignalWatch.class.getClassLoader(),
                             new Class<?>[] {handler},
                             invocation);
-            for (String name : SIGNALS) {
+            for (String name : signals) {
                 Object created = signal.getConstructor(String.class).newInstance(name);
                 signal.getMethod("handle", signal, handler).invoke(null, created, proxy);
             }
--- a/chicorytrestle-daemon/src/main/java/io/chicorytrestle/daemon/DaemonMain.java
+++ b/chicorytrestle-daemon/src/main/java/io/chicorytrestle/daemon/DaemonMain.java
@@ -1,5 +1,6 @@
 package io.chicorytrestle.daemon;
 
+import io.chicorytrestle.core.process.SignalWatch;
 import io.chicorytrestle.daemon.settings.Settings;
 import io.chicorytrestle.daemon.settings.SettingsException;
 import io.chicorytrestle.daemon.settings.SettingsFault;
@@ -56,6 +57,7 @@
         CompletableFuture<Boolean> drained = new CompletableFuture<>();
         AtomicBoolean signalled = new AtomicBoolean();
         SignalWatch.watch(
+                SignalWatch.END,
                 () -> {
                     if (signalled.getAndSet(true)) {
                         drained.complete(false);
--- a/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/Gateway.java
+++ b/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/Gateway.java
@@ -7,6 +7,7 @@
 import io.chicorytrestle.core.limit.RetryBudget;
 import io.chicorytrestle.core.placement.PlacementSettings;
 import io.chicorytrestle.core.placement.PlacementTopics;
+import io.chicorytrestle.core.process.SignalWatch;
 import io.chicorytrestle.core.route.RequestLimits;
 import io.chicorytrestle.core.route.RouteTopics;
 import io.chicorytrestle.gateway.dialect.RequestDialect;
@@ -30,7 +31,6 @@
 import io.netty.handler.codec.http.HttpResponseStatus;
 import java.io.IOException;
 import java.net.InetSocketAddress;
-import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Supplier;
 
@@ -114,9 +114,6 @@
     /** Shows the figures. */
     private final HttpFront shown;
 
-    /** Released when the process may end. */
-    private final CountDownLatch ended = new CountDownLatch(1);
-
     /** Whether the process was asked to end. */
     private boolean isEnding;
 
@@ -280,33 +277,33 @@
         ready.listen();
         shown.listen();
         fleet.listen();
-        Runtime.getRuntime().addShutdownHook(new Thread(this::awaitEnd, "end"));
+        SignalWatch.watch(SignalWatch.END, this::stop);
         LOGGER.atInfo().with(LogFields.PEER, settings.instanceName()).log("instance_started");
         step();
         beat();
         reactor.run();
-        ended.countDown();
     }
 
-    /** Asks the instance to end as a signal does, without waiting. Any thread may call it. */
+    /** Asks the instance to end as a signal does. Any thread may call it. */
     public void stop() {
         reactor.execute(this::end);
     }
 
-    /** Asks the event loop to end and waits until it did. */
-    private void awaitEnd() {
-        stop();
-        try {
-            if (!ended.await(settings.graceMillis(), TimeUnit.MILLISECONDS)) {
-                System.err.println("Instance ends with requests under way");
-            }
-        } catch (InterruptedException exception) {
-            Thread.currentThread().interrupt();
-        }
+    /**
+     * Takes settings that changed. Addresses and the name stay as they are until the next start.
+     *
+     * @param changed The settings.
+     */
+    public void reload(GatewaySettings changed) {
+        fleet.seeds(changed.seeds());
+        LOGGER.atInfo().with(LogFields.COUNT, changed.seeds().size()).log("settings_reloaded");
     }
 
     /** Starts to end: callers are sent elsewhere, and what is under way is completed. */
     private void end() {
+        if (isEnding) {
+            return;
+        }
         isEnding = true;
         endingSinceMillis = reactor.currentTimeMillis();
         front.drain();
@@ -334,7 +331,6 @@
         if (isEnding && mayEnd(nowMillis)) {
             LOGGER.atInfo().with(LogFields.COUNT, (int) front.busy()).log("instance_ended");
             front.close();
-            ended.countDown();
             reactor.breakEventloop();
             return;
         }
--- a/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/fleet/FleetChannel.java
+++ b/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/fleet/FleetChannel.java
@@ -148,6 +148,15 @@
         beat(reactor.currentTimeMillis());
     }
 
+    /**
+     * Takes other addresses at which the first instances may be met.
+     *
+     * @param seeds The addresses.
+     */
+    public void seeds(List<String> seeds) {
+        members.seeds(seeds);
+    }
+
     /**
      * Returns the number of known instances beside this one.
      *
--- a/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/fleet/FleetMembers.java
+++ b/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/fleet/FleetMembers.java
@@ -41,7 +41,7 @@
     private final PeerAddress self;
 
     /** The addresses at which the first instances may be met. */
-    private final List<String> seeds;
+    private List<String> seeds;
 
     /** Draws targets. */
     private final Random random;
@@ -65,6 +65,15 @@
         this.random = random;
     }
 
+    /**
+     * Takes other addresses at which the first instances may be met.
+     *
+     * @param replaced The addresses.
+     */
+    void seeds(List<String> replaced) {
+        seeds = List.copyOf(replaced);
+    }
+
     /**
      * Takes note of a sign of life.
      *
