Let two instances of each zone read the list of endpoints and tell the others

Ruled out: fewer watches of the configuration; it changes seldom and its text is too long to pass on to small links. Change: a beat says how its sender learns of endpoints; the first two of a zone in an agreed order read, tell changes at once, and whoever hears of no working reader for 1.3 s reads by itself.

--- a/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/Gateway.java
+++ b/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/Gateway.java
@@ -4,6 +4,7 @@
 import io.activej.eventloop.Eventloop;
 import io.activej.reactor.nio.NioReactor;
 import io.chicorytrestle.core.blackboard.Blackboard;
+import io.chicorytrestle.core.blackboard.Controller;
 import io.chicorytrestle.core.limit.RetryBudget;
 import io.chicorytrestle.core.placement.PlacementSettings;
 import io.chicorytrestle.core.placement.PlacementTopics;
@@ -31,6 +32,8 @@
 import io.netty.handler.codec.http.HttpResponseStatus;
 import java.io.IOException;
 import java.net.InetSocketAddress;
+import java.util.ArrayList;
+import java.util.List;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Supplier;
 
@@ -114,6 +117,9 @@
     /** Shows the figures. */
     private final HttpFront shown;
 
+    /** Decide at short intervals. */
+    private final List<Controller> controllers = new ArrayList<>();
+
     /** Whether the process was asked to end. */
     private boolean isEnding;
 
@@ -139,17 +145,7 @@
         reactor.keepAlive(true);
         context =
                 new GatewayContext(
-                        reactor,
-                        blackboard,
-                        dialect,
-                        metrics,
-                        new PlacementSettings(
-                                settings.zone(),
-                                Math.max(1, settings.loadMultiple() * LOAD_MULTIPLE_SHARE),
-                                LOAD_SLACK),
-                        () ->
-                                new RetryBudget(
-                                        settings.retryRatio() * RETRY_RATIO_SHARE, SAVED_RETRIES));
+                        reactor, blackboard, dialect, metrics, placement(), this::retryBudget);
         knowledge =
                 new FleetKnowledge(
                         blackboard,
@@ -177,9 +173,32 @@
                         context.loads(),
                         context.reach(),
                         codec);
+        controllers.add(knowledge);
+        controllers.add(context::step);
         showGauges();
     }
 
+    /**
+     * Returns what bounds the choice of an endpoint.
+     *
+     * @return The bounds, which are stricter than what is allowed, since counts are late.
+     */
+    private PlacementSettings placement() {
+        return new PlacementSettings(
+                settings.zone(),
+                Math.max(1, settings.loadMultiple() * LOAD_MULTIPLE_SHARE),
+                LOAD_SLACK);
+    }
+
+    /**
+     * Makes the retry budget of a service.
+     *
+     * @return This instance's part of the fleet's budget.
+     */
+    private RetryBudget retryBudget() {
+        return new RetryBudget(settings.retryRatio() * RETRY_RATIO_SHARE, SAVED_RETRIES);
+    }
+
     /** Shows figures that are read when asked for. */
     private void showGauges() {
         metrics.gauge("peers", fleet::size);
@@ -267,6 +286,24 @@
         return knowledge;
     }
 
+    /**
+     * Returns the exchange with other instances.
+     *
+     * @return The exchange with other instances.
+     */
+    public FleetChannel fleet() {
+        return fleet;
+    }
+
+    /**
+     * Adds a controller that is stepped with the others.
+     *
+     * @param controller The controller.
+     */
+    public void add(Controller controller) {
+        controllers.add(controller);
+    }
+
     /**
      * Serves until the process is asked to end and nothing is left to do.
      *
@@ -322,8 +359,7 @@
     /** Steps the controllers and plans the next step. */
     private void step() {
         long nowMillis = reactor.currentTimeMillis();
-        knowledge.step(nowMillis);
-        context.step(nowMillis);
+        controllers.forEach(controller -> controller.step(nowMillis));
         if (isEnding && nowMillis - endingSinceMillis >= LEAVING_MILLIS) {
             requests.end();
             front.closeIdle();
--- a/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/fleet/Beat.java
+++ b/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/fleet/Beat.java
@@ -1,5 +1,6 @@
 package io.chicorytrestle.gateway.fleet;
 
+import io.chicorytrestle.core.fleet.StoreContact;
 import java.util.List;
 import java.util.Map;
 
@@ -11,6 +12,7 @@
  * @param tableVersion The version of the routing table in force.
  * @param endpointRevision The store's revision of the newest change of endpoints that is known.
  * @param isEnding Whether the sender takes no more work.
+ * @param contact How the sender learns of endpoints.
  * @param counts The sender's requests in flight by incarnation of the endpoint.
  * @param leaving The incarnations of endpoints that take no more requests.
  * @param peers Some instances that the sender knows.
@@ -21,6 +23,7 @@
         long tableVersion,
         long endpointRevision,
         boolean isEnding,
+        StoreContact contact,
         Map<String, Integer> counts,
         List<String> leaving,
         List<PeerAddress> peers)
--- a/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/fleet/FleetChannel.java
+++ b/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/fleet/FleetChannel.java
@@ -5,6 +5,8 @@
 import io.activej.net.socket.tcp.TcpSocket;
 import io.activej.reactor.net.SocketSettings;
 import io.activej.reactor.nio.NioReactor;
+import io.chicorytrestle.core.fleet.ReaderChoice;
+import io.chicorytrestle.core.fleet.StoreContact;
 import io.chicorytrestle.core.placement.LoadBook;
 import io.chicorytrestle.core.placement.ZoneReach;
 import io.chicorytrestle.core.route.RoutingTable;
@@ -89,6 +91,9 @@
     /** The time in milliseconds of the last request for a snapshot. */
     private long askedMillis;
 
+    /** How this instance learns of endpoints. */
+    private StoreContact contact = StoreContact.LOST;
+
     /** Whether this instance takes no more work. */
     private boolean isEnding;
 
@@ -148,6 +153,31 @@
         beat(reactor.currentTimeMillis());
     }
 
+    /**
+     * Decides whether this instance reads the store's list of endpoints itself.
+     *
+     * @param own How it learns of endpoints now.
+     * @return {@code true} if it reads the store itself.
+     */
+    public boolean reads(StoreContact own) {
+        contact = own;
+        long nowMillis = reactor.currentTimeMillis();
+        return ReaderChoice.reads(self.name(), own, members.zoneContacts(nowMillis));
+    }
+
+    /**
+     * Tells the instances of the zone what changed in the store's list of endpoints.
+     *
+     * @param changes The changes.
+     */
+    public void tell(EndpointChanges changes) {
+        long nowMillis = reactor.currentTimeMillis();
+        byte[] message = FleetCodec.encode(changes);
+        for (String address : members.zoneAddresses(nowMillis)) {
+            send(address, message, nowMillis);
+        }
+    }
+
     /**
      * Takes other addresses at which the first instances may be met.
      *
@@ -182,6 +212,7 @@
                                 knowledge.version(),
                                 knowledge.endpointRevision(),
                                 isEnding,
+                                contact,
                                 loads.own(),
                                 knowledge.leaving(),
                                 members.sample(nowMillis)));
@@ -259,6 +290,8 @@
                                     List.copyOf(knowledge.endpoints()))));
         } else if (message instanceof Snapshot snapshot) {
             received(snapshot, nowMillis);
+        } else if (message instanceof EndpointChanges changes) {
+            knowledge.told(changes, nowMillis);
         }
     }
 
--- a/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/fleet/FleetCodec.java
+++ b/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/fleet/FleetCodec.java
@@ -1,5 +1,6 @@
 package io.chicorytrestle.gateway.fleet;
 
+import io.chicorytrestle.core.fleet.StoreContact;
 import io.chicorytrestle.core.placement.ServingEndpoint;
 import java.io.IOException;
 import java.nio.ByteBuffer;
@@ -23,6 +24,9 @@
     /** The number that starts a snapshot. */
     private static final int SNAPSHOT = 3;
 
+    /** The number that starts changes of endpoints. */
+    private static final int ENDPOINT_CHANGES = 4;
+
     /** Not to be created. */
     private FleetCodec() {}
 
@@ -44,6 +48,9 @@
             } else if (message instanceof Snapshot snapshot) {
                 packer.packInt(SNAPSHOT);
                 pack(packer, snapshot);
+            } else if (message instanceof EndpointChanges changes) {
+                packer.packInt(ENDPOINT_CHANGES);
+                pack(packer, changes);
             }
             return packer.toByteArray();
         } catch (IOException exception) {
@@ -65,6 +72,7 @@
                 case BEAT -> unpackBeat(unpacker);
                 case SNAPSHOT_REQUEST -> new SnapshotRequest(unpacker.unpackLong());
                 case SNAPSHOT -> unpackSnapshot(unpacker);
+                case ENDPOINT_CHANGES -> unpackChanges(unpacker);
                 default -> throw new IOException("Kind of message is unknown: " + kind);
             };
         } catch (RuntimeException exception) {
@@ -85,6 +93,7 @@
         packer.packLong(beat.tableVersion());
         packer.packLong(beat.endpointRevision());
         packer.packBoolean(beat.isEnding());
+        packer.packInt(beat.contact().number());
         packer.packMapHeader(beat.counts().size());
         for (Map.Entry<String, Integer> count : beat.counts().entrySet()) {
             packer.packString(count.getKey());
@@ -113,6 +122,7 @@
         long tableVersion = unpacker.unpackLong();
         long endpointRevision = unpacker.unpackLong();
         boolean isEnding = unpacker.unpackBoolean();
+        StoreContact contact = StoreContact.of(unpacker.unpackInt());
         Map<String, Integer> counts = new HashMap<>();
         for (int left = unpacker.unpackMapHeader(); left > 0; left--) {
             counts.put(unpacker.unpackString(), unpacker.unpackInt());
@@ -131,6 +141,7 @@
                 tableVersion,
                 endpointRevision,
                 isEnding,
+                contact,
                 counts,
                 leaving,
                 peers);
@@ -176,8 +187,73 @@
         packer.packBinaryHeader(bytes.length);
         packer.writePayload(bytes);
         packer.packLong(snapshot.endpointRevision());
-        packer.packArrayHeader(snapshot.endpoints().size());
-        for (ServingEndpoint endpoint : snapshot.endpoints()) {
+        pack(packer, snapshot.endpoints());
+    }
+
+    /**
+     * Reads a snapshot.
+     *
+     * @param unpacker Gives the fields.
+     * @return The snapshot.
+     * @throws IOException If the message is malformed.
+     */
+    private static Snapshot unpackSnapshot(MessageUnpacker unpacker) throws IOException {
+        String sender = unpacker.unpackString();
+        byte[] table = unpacker.readPayload(unpacker.unpackBinaryHeader());
+        long endpointRevision = unpacker.unpackLong();
+        List<ServingEndpoint> endpoints = unpackEndpoints(unpacker);
+        return new Snapshot(sender, ByteBuffer.wrap(table), endpointRevision, endpoints);
+    }
+
+    /**
+     * Writes changes of endpoints.
+     *
+     * @param packer Takes the fields.
+     * @param changes The changes.
+     * @throws IOException Never, since the output is memory.
+     */
+    private static void pack(MessageBufferPacker packer, EndpointChanges changes)
+            throws IOException {
+        packer.packString(changes.sender());
+        packer.packLong(changes.before());
+        packer.packLong(changes.revision());
+        pack(packer, changes.changed());
+        packer.packArrayHeader(changes.removed().size());
+        for (String id : changes.removed()) {
+            packer.packString(id);
+        }
+    }
+
+    /**
+     * Reads changes of endpoints.
+     *
+     * @param unpacker Gives the fields.
+     * @return The changes.
+     * @throws IOException If the message is malformed.
+     */
+    private static EndpointChanges unpackChanges(MessageUnpacker unpacker) throws IOException {
+        String sender = unpacker.unpackString();
+        long before = unpacker.unpackLong();
+        long revision = unpacker.unpackLong();
+        List<ServingEndpoint> changed = unpackEndpoints(unpacker);
+        List<String> removed = new ArrayList<>();
+        for (int left = unpacker.unpackArrayHeader(); left > 0; left--) {
+            removed.add(unpacker.unpackString());
+        }
+        return new EndpointChanges(sender, before, revision, changed, removed);
+    }
+
+    /**
+     * Writes endpoints.
+     *
+     * @param packer Takes the fields.
+     * @param endpoints The endpoints.
+     * @throws IOException Never, since the output is memory.
+     */
+    private static void pack(MessageBufferPacker packer, List<ServingEndpoint> endpoints)
+            throws IOException {
+        packer.packArrayHeader(endpoints.size());
+        for (ServingEndpoint endpoint : endpoints) {
             packer.packString(endpoint.id());
             packer.packString(endpoint.service());
             packer.packString(endpoint.address());
@@ -189,16 +265,14 @@
     }
 
     /**
-     * Reads a snapshot.
+     * Reads endpoints.
      *
      * @param unpacker Gives the fields.
-     * @return The snapshot.
+     * @return The endpoints.
      * @throws IOException If the message is malformed.
      */
-    private static Snapshot unpackSnapshot(MessageUnpacker unpacker) throws IOException {
-        String sender = unpacker.unpackString();
-        byte[] table = unpacker.readPayload(unpacker.unpackBinaryHeader());
-        long endpointRevision = unpacker.unpackLong();
+    private static List<ServingEndpoint> unpackEndpoints(MessageUnpacker unpacker)
+            throws IOException {
         List<ServingEndpoint> endpoints = new ArrayList<>();
         for (int left = unpacker.unpackArrayHeader(); left > 0; left--) {
             endpoints.add(
@@ -211,6 +285,6 @@
                             unpacker.unpackBoolean(),
                             unpacker.unpackLong()));
         }
-        return new Snapshot(sender, ByteBuffer.wrap(table), endpointRevision, endpoints);
+        return endpoints;
     }
 }
--- a/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/fleet/FleetKnowledge.java
+++ b/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/fleet/FleetKnowledge.java
@@ -10,6 +10,7 @@
 import io.chicorytrestle.core.route.RouteTopics;
 import io.chicorytrestle.core.route.RoutingTable;
 import io.chicorytrestle.gateway.operations.LogFields;
+import java.util.ArrayList;
 import java.util.Collection;
 import java.util.List;
 import java.util.Optional;
@@ -105,30 +106,6 @@
         publish(directory.replace(endpoints, nowMillis), "store", nowMillis);
     }
 
-    /**
-     * Takes the entry of one endpoint.
-     *
-     * @param endpoint The endpoint.
-     * @param revision The store's revision of the entry.
-     * @param nowMillis The present time in milliseconds.
-     */
-    public void changed(ServingEndpoint endpoint, long revision, long nowMillis) {
-        endpointRevision = Math.max(endpointRevision, revision);
-        publish(directory.put(endpoint, nowMillis).stream().toList(), "store", nowMillis);
-    }
-
-    /**
-     * Takes note of an entry that vanished.
-     *
-     * @param id The identifier of the endpoint.
-     * @param revision The store's revision of the removal.
-     * @param nowMillis The present time in milliseconds.
-     */
-    public void removed(String id, long revision, long nowMillis) {
-        endpointRevision = Math.max(endpointRevision, revision);
-        publish(directory.remove(id, nowMillis).stream().toList(), "store", nowMillis);
-    }
-
     /**
      * Takes note of an incarnation that takes no more requests.
      *
@@ -157,6 +134,41 @@
         }
     }
 
+    /**
+     * Takes changes that this instance or another reader of the zone read. Changes that do not
+     * follow on what is known are left to the next snapshot.
+     *
+     * @param changes The changes.
+     * @param nowMillis The present time in milliseconds.
+     */
+    public void told(EndpointChanges changes, long nowMillis) {
+        boolean follows =
+                changes.before() <= endpointRevision && changes.revision() > endpointRevision;
+        if (!follows) {
+            return;
+        }
+        endpointRevision = changes.revision();
+        publish(apply(changes, nowMillis), changes.sender(), nowMillis);
+    }
+
+    /**
+     * Applies changes of endpoints.
+     *
+     * @param changes The changes.
+     * @param nowMillis The present time in milliseconds.
+     * @return What became known by them.
+     */
+    private List<EndpointDirectory.Change> apply(EndpointChanges changes, long nowMillis) {
+        List<EndpointDirectory.Change> made = new ArrayList<>();
+        for (ServingEndpoint endpoint : changes.changed()) {
+            directory.put(endpoint, nowMillis).ifPresent(made::add);
+        }
+        for (String id : changes.removed()) {
+            directory.remove(id, nowMillis).ifPresent(made::add);
+        }
+        return made;
+    }
+
     /**
      * Returns the store's revision of the newest change of endpoints that is known.
      *
--- a/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/fleet/FleetMembers.java
+++ b/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/fleet/FleetMembers.java
@@ -1,5 +1,6 @@
 package io.chicorytrestle.gateway.fleet;
 
+import io.chicorytrestle.core.fleet.StoreContact;
 import java.util.ArrayList;
 import java.util.Collections;
 import java.util.HashMap;
@@ -28,6 +29,9 @@
     /** The instances of a zone of which some instance of another zone hears one at each beat. */
     private static final int STRIDE_INSTANCES = 3;
 
+    /** The silence in milliseconds after which a reader of the own zone is no longer relied on. */
+    static final long HEARD_MILLIS = 1_300;
+
     /** The silence in milliseconds after which an instance is forgotten. */
     static final long FORGET_MILLIS = 20_000;
 
@@ -92,7 +96,8 @@
         }
         Member before =
                 members.put(
-                        beat.sender().address(), new Member(beat.sender(), nowMillis, nowMillis));
+                        beat.sender().address(),
+                        new Member(beat.sender(), beat.contact(), nowMillis, nowMillis));
         return before == null || nowMillis - before.heardMillis() > FRESH_MILLIS;
     }
 
@@ -105,7 +110,9 @@
     private void learned(PeerAddress peer, long nowMillis) {
         if (!peer.address().equals(self.address())) {
             members.putIfAbsent(
-                    peer.address(), new Member(peer, nowMillis - FRESH_MILLIS - 1, nowMillis));
+                    peer.address(),
+                    new Member(
+                            peer, StoreContact.FOLLOWING, nowMillis - FRESH_MILLIS - 1, nowMillis));
         }
     }
 
@@ -172,6 +179,40 @@
         return (int) Math.max(1, Math.min(LONGEST_STRIDE, (ownZone + 1) / STRIDE_INSTANCES));
     }
 
+    /**
+     * Returns how the other instances of the zone learn of endpoints.
+     *
+     * @param nowMillis The present time in milliseconds.
+     * @return The contact of each instance that was heard lately, by name.
+     */
+    Map<String, StoreContact> zoneContacts(long nowMillis) {
+        Map<String, StoreContact> contacts = new HashMap<>();
+        for (Member member : members.values()) {
+            boolean isHeard = nowMillis - member.heardMillis() <= HEARD_MILLIS;
+            if (isHeard && member.peer().zone().equals(self.zone())) {
+                contacts.put(member.peer().name(), member.contact());
+            }
+        }
+        return contacts;
+    }
+
+    /**
+     * Returns the addresses of the other instances of the zone that are within reach.
+     *
+     * @param nowMillis The present time in milliseconds.
+     * @return The addresses.
+     */
+    List<String> zoneAddresses(long nowMillis) {
+        List<String> addresses = new ArrayList<>();
+        for (Member member : members.values()) {
+            boolean isFresh = nowMillis - member.heardMillis() <= FRESH_MILLIS;
+            if (isFresh && member.peer().zone().equals(self.zone())) {
+                addresses.add(member.peer().address());
+            }
+        }
+        return addresses;
+    }
+
     /**
      * Returns some known instances for a beat.
      *
@@ -214,8 +255,10 @@
      * Holds a known instance.
      *
      * @param peer Where the instance is met.
+     * @param contact How it learns of endpoints.
      * @param heardMillis The time of its last sign of life in milliseconds.
      * @param learnedMillis The time at which it was last named or heard, in milliseconds.
      */
-    private record Member(PeerAddress peer, long heardMillis, long learnedMillis) {}
+    private record Member(
+            PeerAddress peer, StoreContact contact, long heardMillis, long learnedMillis) {}
 }
--- a/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/fleet/FleetMessage.java
+++ b/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/fleet/FleetMessage.java
@@ -1,4 +1,4 @@
 package io.chicorytrestle.gateway.fleet;
 
 /** What instances send one another. */
-public sealed interface FleetMessage permits Beat, SnapshotRequest, Snapshot {}
+public sealed interface FleetMessage permits Beat, SnapshotRequest, Snapshot, EndpointChanges {}
