--- /dev/null
+++ b/chicorytrestle-gateway/src/test/java/io/chicorytrestle/gateway/exchange/EventSplitterTest.java
@@ -0,0 +1,61 @@
+package io.chicorytrestle.gateway.exchange;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.equalTo;
+
+import io.netty.buffer.Unpooled;
+import java.nio.charset.StandardCharsets;
+import java.util.Optional;
+import java.util.Random;
+import org.junit.jupiter.api.Test;
+
+class EventSplitterTest {
+
+    private final EventSplitter splitter = new EventSplitter();
+
+    @Test
+    void testAppendWhenEventIsTorn() {
+        assertThat(append("id: 1\ndata: a\n\nid: 2\nda"), equalTo("id: 1\ndata: a\n\n"));
+        assertThat(splitter.lastEventId(), equalTo(Optional.of("1")));
+        assertThat(append("ta: b\n\n"), equalTo("id: 2\ndata: b\n\n"));
+        assertThat(splitter.lastEventId(), equalTo(Optional.of("2")));
+    }
+
+    @Test
+    void testAppendWhenLinesEndWithCarriageReturns() {
+        assertThat(append("id: 7\r\ndata: a\r\n\r\n"), equalTo("id: 7\r\ndata: a\r\n\r\n"));
+        assertThat(splitter.lastEventId(), equalTo(Optional.of("7")));
+    }
+
+    @Test
+    void testAppendWhenBytesArriveInAnyPieces() {
+        StringBuilder sent = new StringBuilder();
+        for (int number = 1; number <= 50; number++) {
+            sent.append("id: ").append(number).append("\ndata: x").append(number).append("\n\n");
+        }
+        Random random = new Random(3);
+        StringBuilder passed = new StringBuilder();
+        for (int start = 0; start < sent.length(); ) {
+            int end = Math.min(sent.length(), start + 1 + random.nextInt(9));
+            passed.append(append(sent.substring(start, end)));
+            start = end;
+        }
+
+        assertThat(passed.toString(), equalTo(sent.toString()));
+        assertThat(splitter.lastEventId(), equalTo(Optional.of("50")));
+    }
+
+    @Test
+    void testRestWhenStreamEndsWithoutBlankLine() {
+        append("id: 1\ndata: a\n\ntail");
+
+        assertThat(new String(splitter.rest(), StandardCharsets.UTF_8), equalTo("tail"));
+        assertThat(splitter.rest().length, equalTo(0));
+    }
+
+    private String append(String text) {
+        return new String(
+                splitter.append(Unpooled.wrappedBuffer(text.getBytes(StandardCharsets.UTF_8))),
+                StandardCharsets.UTF_8);
+    }
+}
--- /dev/null
+++ b/chicorytrestle-gateway/src/test/java/io/chicorytrestle/gateway/fleet/FleetCodecTest.java
@@ -0,0 +1,83 @@
+package io.chicorytrestle.gateway.fleet;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.equalTo;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+
+import io.chicorytrestle.core.fleet.StoreContact;
+import io.chicorytrestle.core.placement.ServingEndpoint;
+import java.io.IOException;
+import java.nio.ByteBuffer;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+import org.junit.jupiter.api.Test;
+
+class FleetCodecTest {
+
+    private static final PeerAddress SENDER = new PeerAddress("a", "10.0.0.1:9", "z");
+
+    private static final ServingEndpoint ENDPOINT =
+            new ServingEndpoint("e", "s", "10.0.0.2:8", "z", 64, true, 1_700_000_000_000L);
+
+    @Test
+    void testDecodeWhenBeat() throws IOException {
+        Beat beat =
+                new Beat(
+                        SENDER,
+                        -5,
+                        7,
+                        412,
+                        true,
+                        StoreContact.READING,
+                        Map.of("e@1", 3),
+                        List.of("f@2"),
+                        List.of(new PeerAddress("b", "10.0.0.3:9", "y")));
+
+        assertThat(FleetCodec.decode(FleetCodec.encode(beat)), equalTo(beat));
+    }
+
+    @Test
+    void testDecodeWhenSnapshot() throws IOException {
+        Snapshot snapshot =
+                new Snapshot("a", ByteBuffer.wrap(new byte[] {1, 2}), 9, List.of(ENDPOINT));
+
+        assertThat(FleetCodec.decode(FleetCodec.encode(snapshot)), equalTo(snapshot));
+    }
+
+    @Test
+    void testDecodeWhenEndpointChanges() throws IOException {
+        EndpointChanges changes =
+                new EndpointChanges("a", 3, 9, List.of(ENDPOINT), List.of("gone"));
+
+        assertThat(FleetCodec.decode(FleetCodec.encode(changes)), equalTo(changes));
+    }
+
+    @Test
+    void testDecodeWhenBytesAreCut() {
+        byte[] whole = FleetCodec.encode(new SnapshotRequest(70_000));
+
+        for (int length = 0; length < whole.length; length++) {
+            byte[] cut = java.util.Arrays.copyOf(whole, length);
+            assertThrows(IOException.class, () -> FleetCodec.decode(cut));
+        }
+    }
+
+    @Test
+    void testDecodeWhenBytesAreArbitrary() {
+        Random random = new Random(7);
+        int malformed = 0;
+        for (int round = 0; round < 2_000; round++) {
+            byte[] bytes = new byte[1 + random.nextInt(40)];
+            random.nextBytes(bytes);
+            bytes[0] = 1;
+            try {
+                FleetCodec.decode(bytes);
+            } catch (IOException expected) {
+                malformed++;
+            }
+        }
+
+        assertThat(malformed, equalTo(2_000));
+    }
+}
--- /dev/null
+++ b/chicorytrestle-gateway/src/test/java/io/chicorytrestle/gateway/fleet/FleetMembersTest.java
@@ -0,0 +1,105 @@
+package io.chicorytrestle.gateway.fleet;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.contains;
+import static org.hamcrest.Matchers.containsInAnyOrder;
+import static org.hamcrest.Matchers.empty;
+import static org.hamcrest.Matchers.equalTo;
+import static org.hamcrest.Matchers.hasItem;
+import static org.hamcrest.Matchers.hasSize;
+import static org.hamcrest.Matchers.is;
+
+import io.chicorytrestle.core.fleet.StoreContact;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+import org.junit.jupiter.api.Test;
+
+class FleetMembersTest {
+
+    private static final PeerAddress SELF = new PeerAddress("self", "10.0.0.0:9", "a");
+
+    private final FleetMembers members =
+            new FleetMembers(SELF, List.of("10.0.0.1:9", "10.0.0.0:9"), new Random(1));
+
+    @Test
+    void testTargetsWhenNobodyIsKnown() {
+        assertThat(members.targets(0), contains("10.0.0.1:9"));
+    }
+
+    @Test
+    void testTargetsWhenPeerNamesOthers() {
+        members.heard(beat("10.0.0.1:9", "a", false, List.of(peer("10.0.0.2:9", "a"))), 0);
+
+        assertThat(members.size(), equalTo(2));
+        assertThat(members.targets(1), hasItem("10.0.0.1:9"));
+    }
+
+    @Test
+    void testTargetsWhenFleetIsLarge() {
+        for (int number = 1; number <= 145; number++) {
+            members.heard(beat("10.0.1." + number + ":9", "a", false, List.of()), 0);
+        }
+
+        assertThat(members.targets(1), hasSize(FleetMembers.FANOUT));
+    }
+
+    @Test
+    void testTargetsWhenPeerEnds() {
+        members.heard(beat("10.0.0.2:9", "a", false, List.of()), 0);
+        members.heard(beat("10.0.0.2:9", "a", true, List.of()), 1);
+
+        assertThat(members.isFresh("10.0.0.2:9", 2), is(false));
+        assertThat(members.size(), equalTo(0));
+    }
+
+    @Test
+    void testHeardWhenPeerWasSilent() {
+        assertThat(members.heard(beat("10.0.0.2:9", "a", false, List.of()), 0), is(true));
+        assertThat(members.heard(beat("10.0.0.2:9", "a", false, List.of()), 400), is(false));
+        assertThat(members.heard(beat("10.0.0.2:9", "a", false, List.of()), 9_000), is(true));
+    }
+
+    @Test
+    void testExpireWhenPeerStaysSilent() {
+        members.heard(beat("10.0.0.2:9", "a", false, List.of()), 0);
+        members.expire(FleetMembers.FORGET_MILLIS + 1);
+
+        assertThat(members.size(), equalTo(0));
+    }
+
+    @Test
+    void testZoneAddressesWhenZonesDiffer() {
+        members.heard(beat("10.0.0.2:9", "a", false, List.of()), 0);
+        members.heard(beat("10.0.0.3:9", "a", false, List.of()), 0);
+        members.heard(beat("10.0.0.4:9", "b", false, List.of()), 0);
+
+        assertThat(members.zoneAddresses(1), containsInAnyOrder("10.0.0.2:9", "10.0.0.3:9"));
+    }
+
+    @Test
+    void testZoneContactsWhenReaderFellSilent() {
+        members.heard(beat("10.0.0.2:9", "a", false, List.of()), 0);
+
+        assertThat(members.zoneContacts(1).keySet(), contains("10.0.0.2:9"));
+        assertThat(members.zoneContacts(FleetMembers.HEARD_MILLIS + 1).keySet(), is(empty()));
+    }
+
+    private static PeerAddress peer(String address, String zone) {
+        return new PeerAddress(address, address, zone);
+    }
+
+    private static Beat beat(
+            String address, String zone, boolean isEnding, List<PeerAddress> peers) {
+        return new Beat(
+                peer(address, zone),
+                1,
+                1,
+                1,
+                isEnding,
+                StoreContact.READING,
+                Map.of(),
+                List.of(),
+                peers);
+    }
+}
--- /dev/null
+++ b/chicorytrestle-gateway/src/test/java/io/chicorytrestle/gateway/operations/LineSinkTest.java
@@ -0,0 +1,43 @@
+package io.chicorytrestle.gateway.operations;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.greaterThan;
+import static org.hamcrest.Matchers.is;
+
+import java.io.IOException;
+import java.io.OutputStream;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+
+@Timeout(value = 60, unit = TimeUnit.SECONDS)
+class LineSinkTest {
+
+    @Test
+    void testOfferWhenReaderStopsReading() {
+        CountDownLatch never = new CountDownLatch(1);
+        LineSink sink =
+                new LineSink(
+                        new OutputStream() {
+                            @Override
+                            public void write(int value) throws IOException {
+                                try {
+                                    never.await();
+                                } catch (InterruptedException exception) {
+                                    throw new IOException(exception);
+                                }
+                            }
+                        });
+        byte[] line = {'x', '\n'};
+
+        boolean isFull = false;
+        for (int count = 0; count < 10_000; count++) {
+            isFull |= !sink.offer(line);
+        }
+
+        assertThat(isFull, is(true));
+        assertThat(sink.dropped(), greaterThan(7_000L));
+        never.countDown();
+    }
+}
--- /dev/null
+++ b/chicorytrestle-gateway/src/test/java/io/chicorytrestle/gateway/settings/SettingsParserTest.java
@@ -0,0 +1,51 @@
+package io.chicorytrestle.gateway.settings;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.allOf;
+import static org.hamcrest.Matchers.containsString;
+import static org.hamcrest.Matchers.equalTo;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+
+import org.junit.jupiter.api.Test;
+
+class SettingsParserTest {
+
+    private static final String WHOLE =
+            """
+            {"instance_name": "i", "availability_zone": "z", "caller_address": "10.0.0.1:1",
+             "ready_address": "10.0.0.1:2", "peer_address": "10.0.0.1:3", "seeds": ["10.0.0.2:3"],
+             "store_address": "10.0.0.9:4", "grace_s": 8, "drain_ms": 2000, "retry_ratio": 0.2,
+             "retry_slack": 129, "load_multiple": 2, "later": true}
+            """;
+
+    @Test
+    void testParseWhenFieldIsUnknown() throws SettingsFaultException {
+        GatewaySettings settings = SettingsParser.parse(WHOLE);
+
+        assertThat(settings.graceMillis(), equalTo(8_000L));
+        assertThat(settings.seeds().get(0), equalTo("10.0.0.2:3"));
+    }
+
+    @Test
+    void testParseWhenSeveralSettingsAreFaulty() {
+        String faulty =
+                WHOLE.replace("\"10.0.0.1:1\"", "\"somewhere\"")
+                        .replace("\"grace_s\": 8", "\"grace_s\": -1")
+                        .replace("\"availability_zone\": \"z\", ", "");
+
+        SettingsFaultException exception =
+                assertThrows(SettingsFaultException.class, () -> SettingsParser.parse(faulty));
+
+        assertThat(
+                exception.getMessage(),
+                allOf(
+                        containsString("caller_address"),
+                        containsString("grace_s"),
+                        containsString("availability_zone")));
+    }
+
+    @Test
+    void testParseWhenTextIsNoObject() {
+        assertThrows(SettingsFaultException.class, () -> SettingsParser.parse("[1"));
+    }
+}
