Give chats with long streams and short prompts a home in every zone

Ruled out: a faster judgement of the cut; the streams were under way when it began. Change: where shared tokens are at most 8 for each generated one, endpoints of the own zone come first in the order.

--- a/chicorytrestle-core/src/main/java/io/chicorytrestle/core/placement/EndpointPicker.java
+++ b/chicorytrestle-core/src/main/java/io/chicorytrestle/core/placement/EndpointPicker.java
@@ -57,7 +57,7 @@
         this.loads = loads;
         this.health = health;
         this.reach = reach;
-        source = new FetchSource(holders);
+        source = new FetchSource(holders, settings.zone());
     }
 
     /**
@@ -108,7 +108,7 @@
             List<ServingEndpoint> sound,
             Prompt prompt,
             long nowMillis) {
-        List<ServingEndpoint> order = HomeOrder.of(allowed, prompt.lastSharedPart().orElseThrow());
+        List<ServingEndpoint> order = HomeOrder.of(allowed, prompt, settings.zone());
         double bound = bound(sound, nowMillis);
         for (ServingEndpoint endpoint : order) {
             double load = loads.estimate(endpoint.incarnation(), nowMillis);
--- a/chicorytrestle-core/src/main/java/io/chicorytrestle/core/placement/FetchSource.java
+++ b/chicorytrestle-core/src/main/java/io/chicorytrestle/core/placement/FetchSource.java
@@ -13,13 +13,18 @@
     /** Remembers who read prompt parts. */
     private final HolderBook holders;
 
+    /** The zone of the instance. */
+    private final String zone;
+
     /**
      * Creates a new source.
      *
      * @param holders Remembers who read prompt parts.
+     * @param zone The zone of the instance.
      */
-    FetchSource(HolderBook holders) {
+    FetchSource(HolderBook holders, String zone) {
         this.holders = holders;
+        this.zone = zone;
     }
 
     /**
@@ -52,7 +57,7 @@
      * @param chosen The endpoint that will read the prompt.
      * @return The address, or empty if the home is the same.
      */
-    private static Optional<String> earlierHome(
+    private Optional<String> earlierHome(
             ServingView view, List<ServingEndpoint> ready, Prompt prompt, ServingEndpoint chosen) {
         List<ServingEndpoint> earlier = new ArrayList<>();
         for (ServingEndpoint endpoint : ready) {
@@ -65,7 +70,7 @@
                 earlier.add(endpoint);
             }
         }
-        return prompt.lastSharedPart().flatMap(part -> home(earlier, part, chosen));
+        return other(HomeOrder.of(earlier, prompt, zone), chosen);
     }
 
     /**
@@ -80,20 +85,18 @@
             List<ServingEndpoint> ready, Prompt prompt, ServingEndpoint chosen) {
         return prompt.sharedParts().isEmpty()
                 ? Optional.empty()
-                : home(ready, prompt.sharedParts().get(0), chosen);
+                : other(HomeOrder.of(ready, prompt.sharedParts().get(0)), chosen);
     }
 
     /**
-     * Finds the home of a part.
+     * Returns the first endpoint of an order unless it is the chosen one.
      *
-     * @param endpoints The endpoints.
-     * @param part The part.
+     * @param order The endpoints, the home first.
      * @param chosen The endpoint that will read the prompt.
      * @return The address, or empty if there is none or it is the chosen endpoint.
      */
-    private static Optional<String> home(
-            List<ServingEndpoint> endpoints, PromptPart part, ServingEndpoint chosen) {
-        return HomeOrder.of(endpoints, part).stream()
+    private static Optional<String> other(List<ServingEndpoint> order, ServingEndpoint chosen) {
+        return order.stream()
                 .findFirst()
                 .filter(home -> !home.incarnation().equals(chosen.incarnation()))
                 .map(ServingEndpoint::address);
--- a/chicorytrestle-core/src/test/java/io/chicorytrestle/core/placement/EndpointPickerTest.java
+++ b/chicorytrestle-core/src/test/java/io/chicorytrestle/core/placement/EndpointPickerTest.java
@@ -125,6 +125,27 @@
         assertThat(placement.fetchAddress(), equalTo(Optional.of(home.address())));
     }
 
+    @Test
+    void testPickWhenStreamIsLongAndItsPromptIsShort() {
+        for (int chat = 0; chat < 20; chat++) {
+            Prompt longStream =
+                    new Prompt(
+                            "m",
+                            700,
+                            200,
+                            List.of(
+                                    new PromptPart("system", 100),
+                                    new PromptPart("chat-" + chat, 500),
+                                    new PromptPart("own", 100)));
+
+            assertThat(
+                    picker.pick(VIEW, Endpoints.SERVICE, Optional.of(longStream), Set.of(), 0)
+                            .get()
+                            .endpoint(),
+                    equalTo(FIRST));
+        }
+    }
+
     @Test
     void testPickWhenPlainRequestFindsLocalEndpointBusy() {
         loads.report(FIRST.incarnation(), 40, 0);
