Name a chat's home in another zone as the source of its parts; log parts and sources

Cause: of 326 placements on an engine that lacked the part while another held it, 184 named a source that did not hold it, most for chats with a home in every zone. Change: the home without regard to zones is named before the home of the first part; placements log both.

--- a/chicorytrestle-core/src/main/java/io/chicorytrestle/core/placement/FetchSource.java
+++ b/chicorytrestle-core/src/main/java/io/chicorytrestle/core/placement/FetchSource.java
@@ -45,6 +45,7 @@
             long nowMillis) {
         return earlierHome(view, ready, prompt, chosen)
                 .or(() -> holders.otherHolder(prompt, chosen, nowMillis))
+                .or(() -> firstZoneHome(ready, prompt, chosen))
                 .or(() -> homeOfFirstPart(ready, prompt, chosen));
     }
 
@@ -73,6 +74,20 @@
         return other(HomeOrder.of(earlier, prompt, zone), chosen);
     }
 
+    /**
+     * Finds the home that the last shared part would have without regard to zones, which serves it
+     * where a chat has a home in every zone.
+     *
+     * @param ready The endpoints of the service that may take work.
+     * @param prompt The prompt.
+     * @param chosen The endpoint that will read the prompt.
+     * @return The address, or empty if the home is the chosen endpoint.
+     */
+    private static Optional<String> firstZoneHome(
+            List<ServingEndpoint> ready, Prompt prompt, ServingEndpoint chosen) {
+        return prompt.lastSharedPart().flatMap(part -> other(HomeOrder.of(ready, part), chosen));
+    }
+
     /**
      * Finds the home of the first shared part, which many chats begin with.
      *
--- a/chicorytrestle-core/src/test/java/io/chicorytrestle/core/placement/EndpointPickerTest.java
+++ b/chicorytrestle-core/src/test/java/io/chicorytrestle/core/placement/EndpointPickerTest.java
@@ -138,11 +138,19 @@
                                     new PromptPart("chat-" + chat, 500),
                                     new PromptPart("own", 100)));
 
-            assertThat(
+            Placement placement =
                     picker.pick(VIEW, Endpoints.SERVICE, Optional.of(longStream), Set.of(), 0)
-                            .get()
-                            .endpoint(),
-                    equalTo(FIRST));
+                            .get();
+            ServingEndpoint anywhere =
+                    HomeOrder.of(
+                                    VIEW.of(Endpoints.SERVICE),
+                                    longStream.lastSharedPart().orElseThrow())
+                            .get(0);
+
+            assertThat(placement.endpoint(), equalTo(FIRST));
+            if (!anywhere.equals(FIRST)) {
+                assertThat(placement.fetchAddress(), equalTo(Optional.of(anywhere.address())));
+            }
         }
     }
 
--- a/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/exchange/Exchange.java
+++ b/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/exchange/Exchange.java
@@ -7,6 +7,8 @@
 import io.chicorytrestle.core.attempt.Patience;
 import io.chicorytrestle.core.attempt.RefusalReason;
 import io.chicorytrestle.core.placement.Placement;
+import io.chicorytrestle.core.placement.Prompt;
+import io.chicorytrestle.core.placement.PromptPart;
 import io.chicorytrestle.core.route.Route;
 import io.chicorytrestle.core.route.Workspace;
 import io.chicorytrestle.core.verdict.Verdict;
@@ -154,6 +156,13 @@
                 .with(LogFields.ENDPOINT, placement.endpoint().incarnation())
                 .with(LogFields.REASON, placement.reason().text())
                 .with(LogFields.LOAD, placement.load())
+                .with(
+                        LogFields.PROMPT_PART,
+                        request.prompt()
+                                .flatMap(Prompt::lastSharedPart)
+                                .map(PromptPart::id)
+                                .orElse(null))
+                .with(LogFields.FETCH_FROM, placement.fetchAddress().orElse(null))
                 .with(LogFields.VERSION, context.table().version())
                 .with(LogFields.REMAINING_MILLIS, remainingMillis())
                 .log("request_placed");
--- a/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/operations/LogFields.java
+++ b/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/operations/LogFields.java
@@ -42,6 +42,14 @@
     /** The requests that the endpoint was believed to carry. */
     public static final MetadataKey<Double> LOAD = MetadataKey.single("load", Double.class);
 
+    /** The last shared part of the prompt. */
+    public static final MetadataKey<String> PROMPT_PART =
+            MetadataKey.single("prompt_part", String.class);
+
+    /** The address of the endpoint from which cached parts may be fetched. */
+    public static final MetadataKey<String> FETCH_FROM =
+            MetadataKey.single("fetch_from", String.class);
+
     /** The version of the routing table. */
     public static final MetadataKey<Long> VERSION = MetadataKey.single("version", Long.class);
 
