--- a/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/fleet/FleetChannel.java
+++ b/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/fleet/FleetChannel.java
@@ -216,7 +216,7 @@
                                 loads.own(),
                                 knowledge.leaving(),
                                 members.sample(nowMillis)));
-        for (String address : members.targets(nowMillis)) {
+        for (String address : members.targets(contact, nowMillis)) {
             send(address, message, nowMillis);
         }
     }
--- a/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/fleet/FleetMembers.java
+++ b/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/fleet/FleetMembers.java
@@ -4,9 +4,11 @@
 import java.util.ArrayList;
 import java.util.Collections;
 import java.util.HashMap;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Random;
+import java.util.Set;
 
 /**
  * Keeps the instances that are known and chooses to whom the next beat goes. It is confined to one
@@ -20,9 +22,16 @@
     /** The instances to which a beat goes in a larger fleet, so that its cost stays the same. */
     static final int FANOUT = 12;
 
-    /** The silence in milliseconds after which an instance counts as out of reach: two beats. */
+    /**
+     * The silence in milliseconds after which an instance counts as out of reach: two beats at the
+     * longest stride. In a larger fleet, in which beats go to a random part, it grows with the
+     * size.
+     */
     static final long FRESH_MILLIS = 2_800;
 
+    /** The silence in milliseconds that is added for each multiple of the fanout: some beats. */
+    private static final long FRESH_MILLIS_PER_FANOUT = 1_200;
+
     /** The most beats of which one goes to an instance of another zone. */
     private static final int LONGEST_STRIDE = 3;
 
@@ -98,7 +107,7 @@
                 members.put(
                         beat.sender().address(),
                         new Member(beat.sender(), beat.contact(), nowMillis, nowMillis));
-        return before == null || nowMillis - before.heardMillis() > FRESH_MILLIS;
+        return before == null || !isFresh(before, nowMillis);
     }
 
     /**
@@ -111,8 +120,7 @@
         if (!peer.address().equals(self.address())) {
             members.putIfAbsent(
                     peer.address(),
-                    new Member(
-                            peer, StoreContact.FOLLOWING, nowMillis - FRESH_MILLIS - 1, nowMillis));
+                    new Member(peer, StoreContact.FOLLOWING, Long.MIN_VALUE / 2, nowMillis));
         }
     }
 
@@ -132,15 +140,16 @@
     /**
      * Chooses to whom the next beat goes.
      *
+     * @param contact How this instance learns of endpoints; a reader is heard by its whole zone.
      * @param nowMillis The present time in milliseconds.
      * @return The addresses.
      */
-    List<String> targets(long nowMillis) {
+    List<String> targets(StoreContact contact, long nowMillis) {
         List<String> targets = new ArrayList<>();
         beats++;
         int stride = stride();
         for (Member member : members.values()) {
-            boolean isFresh = nowMillis - member.heardMillis() <= FRESH_MILLIS;
+            boolean isFresh = isFresh(member, nowMillis);
             boolean isTurn =
                     member.peer().zone().equals(self.zone())
                             || Math.floorMod(member.peer().address().hashCode() + beats, stride)
@@ -158,11 +167,15 @@
                 targets.add(seed);
             }
         }
-        if (targets.size() > FULL_FLEET) {
-            Collections.shuffle(targets, random);
-            return targets.subList(0, FANOUT);
+        if (targets.size() <= FULL_FLEET) {
+            return targets;
+        }
+        Collections.shuffle(targets, random);
+        Set<String> chosen = new LinkedHashSet<>(targets.subList(0, FANOUT));
+        if (contact == StoreContact.READING) {
+            chosen.addAll(zoneAddresses(nowMillis));
         }
-        return targets;
+        return List.copyOf(chosen);
     }
 
     /**
@@ -205,7 +218,7 @@
     List<String> zoneAddresses(long nowMillis) {
         List<String> addresses = new ArrayList<>();
         for (Member member : members.values()) {
-            boolean isFresh = nowMillis - member.heardMillis() <= FRESH_MILLIS;
+            boolean isFresh = isFresh(member, nowMillis);
             if (isFresh && member.peer().zone().equals(self.zone())) {
                 addresses.add(member.peer().address());
             }
@@ -222,7 +235,7 @@
     List<PeerAddress> sample(long nowMillis) {
         List<PeerAddress> fresh = new ArrayList<>();
         for (Member member : members.values()) {
-            if (nowMillis - member.heardMillis() <= FRESH_MILLIS) {
+            if (isFresh(member, nowMillis)) {
                 fresh.add(member.peer());
             }
         }
@@ -239,7 +252,22 @@
      */
     boolean isFresh(String address, long nowMillis) {
         Member member = members.get(address);
-        return member != null && nowMillis - member.heardMillis() <= FRESH_MILLIS;
+        return member != null && isFresh(member, nowMillis);
+    }
+
+    /**
+     * Returns {@code true} if an instance gave a sign of life lately.
+     *
+     * @param member The instance.
+     * @param nowMillis The present time in milliseconds.
+     * @return {@code true} if an instance gave a sign of life lately.
+     */
+    private boolean isFresh(Member member, long nowMillis) {
+        long freshMillis = FRESH_MILLIS;
+        if (members.size() > FULL_FLEET) {
+            freshMillis += FRESH_MILLIS_PER_FANOUT * members.size() / FANOUT;
+        }
+        return nowMillis - member.heardMillis() <= freshMillis;
     }
 
     /**
--- a/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/settings/GatewaySettings.java
+++ b/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/settings/GatewaySettings.java
@@ -12,6 +12,7 @@
  * @param peerAddress The address at which other instances are met.
  * @param seeds The addresses of instances that may be running.
  * @param storeAddress The address of the metadata store.
+ * @param storeHistoryMillis The time in milliseconds for which the store remembers changes.
  * @param graceMillis The time in milliseconds between the request to end and the forced end.
  * @param drainMillis The time in milliseconds after which a leaving endpoint gets no request.
  * @param retryRatio The retries that are allowed for each request, fleet-wide.
@@ -26,6 +27,7 @@
         String peerAddress,
         List<String> seeds,
         String storeAddress,
+        long storeHistoryMillis,
         long graceMillis,
         long drainMillis,
         double retryRatio,
--- a/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/settings/SettingsParser.java
+++ b/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/settings/SettingsParser.java
@@ -62,6 +62,7 @@
                         address("peer_address"),
                         addresses("seeds"),
                         address("store_address"),
+                        (long) (number("store_history_s", 1) * SECOND_MILLIS),
                         (long) (number("grace_s", 0) * SECOND_MILLIS),
                         (long) number("drain_ms", 0),
                         number("retry_ratio", 0),
--- a/chicorytrestle-gateway/src/test/java/io/chicorytrestle/gateway/fleet/FleetMembersTest.java
+++ b/chicorytrestle-gateway/src/test/java/io/chicorytrestle/gateway/fleet/FleetMembersTest.java
@@ -24,7 +24,7 @@
 
     @Test
     void testTargetsWhenNobodyIsKnown() {
-        assertThat(members.targets(0), contains("10.0.0.1:9"));
+        assertThat(members.targets(StoreContact.FOLLOWING, 0), contains("10.0.0.1:9"));
     }
 
     @Test
@@ -32,7 +32,7 @@
         members.heard(beat("10.0.0.1:9", "a", false, List.of(peer("10.0.0.2:9", "a"))), 0);
 
         assertThat(members.size(), equalTo(2));
-        assertThat(members.targets(1), hasItem("10.0.0.1:9"));
+        assertThat(members.targets(StoreContact.FOLLOWING, 1), hasItem("10.0.0.1:9"));
     }
 
     @Test
@@ -41,7 +41,30 @@
             members.heard(beat("10.0.1." + number + ":9", "a", false, List.of()), 0);
         }
 
-        assertThat(members.targets(1), hasSize(FleetMembers.FANOUT));
+        assertThat(members.targets(StoreContact.FOLLOWING, 1), hasSize(FleetMembers.FANOUT));
+    }
+
+    @Test
+    void testTargetsWhenReaderIsInALargeFleet() {
+        for (int number = 1; number <= 100; number++) {
+            members.heard(beat("10.0.1." + number + ":9", "a", false, List.of()), 0);
+            members.heard(beat("10.0.2." + number + ":9", "b", false, List.of()), 0);
+        }
+
+        assertThat(
+                members.targets(StoreContact.READING, 1).stream()
+                        .filter(address -> address.startsWith("10.0.1."))
+                        .count(),
+                equalTo(100L));
+    }
+
+    @Test
+    void testIsFreshWhenFleetIsLarge() {
+        for (int number = 1; number <= 145; number++) {
+            members.heard(beat("10.0.1." + number + ":9", "a", false, List.of()), 0);
+        }
+
+        assertThat(members.isFresh("10.0.1.1:9", 10_000), is(true));
     }
 
     @Test
--- a/chicorytrestle-gateway/src/test/java/io/chicorytrestle/gateway/settings/SettingsParserTest.java
+++ b/chicorytrestle-gateway/src/test/java/io/chicorytrestle/gateway/settings/SettingsParserTest.java
@@ -14,7 +14,7 @@
             """
             {"instance_name": "i", "availability_zone": "z", "caller_address": "10.0.0.1:1",
              "ready_address": "10.0.0.1:2", "peer_address": "10.0.0.1:3", "seeds": ["10.0.0.2:3"],
-             "store_address": "10.0.0.9:4", "grace_s": 8, "drain_ms": 2000, "retry_ratio": 0.2,
+             "store_address": "10.0.0.9:4", "store_history_s": 20, "grace_s": 8, "drain_ms": 2000, "retry_ratio": 0.2,
              "retry_slack": 129, "load_multiple": 2, "later": true}
             """;
 
