Report a request's decisions in a class of its own; time a body from its head

Change: RequestReport; the timer starts anew with the head. No test plays the pause yet: it needs a clock of the connection's own.

--- a/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/exchange/Exchange.java
+++ b/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/exchange/Exchange.java
@@ -1,20 +1,16 @@
 package io.chicorytrestle.gateway.exchange;
 
-import com.google.common.flogger.FluentLogger;
 import io.activej.reactor.schedule.ScheduledRunnable;
 import io.chicorytrestle.core.attempt.AttemptState;
 import io.chicorytrestle.core.attempt.NextStep;
 import io.chicorytrestle.core.attempt.Patience;
 import io.chicorytrestle.core.attempt.RefusalReason;
 import io.chicorytrestle.core.placement.Placement;
-import io.chicorytrestle.core.placement.Prompt;
-import io.chicorytrestle.core.placement.PromptPart;
 import io.chicorytrestle.core.route.Route;
 import io.chicorytrestle.core.route.Workspace;
 import io.chicorytrestle.core.verdict.Verdict;
 import io.chicorytrestle.gateway.dialect.GatewayRequest;
 import io.chicorytrestle.gateway.front.Caller;
-import io.chicorytrestle.gateway.operations.LogFields;
 import io.netty.buffer.ByteBuf;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpResponseStatus;
@@ -31,9 +27,6 @@
  */
 final class Exchange {
 
-    /** Reports decisions. */
-    private static final FluentLogger LOGGER = FluentLogger.forEnclosingClass();
-
     /** The most endpoints to which connections are tried, beside those that were sent to. */
     private static final int MAXIMUM_CONNECTS = 4;
 
@@ -52,6 +45,9 @@
     /** The workspace, if the route requires one. */
     private final Optional<Workspace> workspace;
 
+    /** Reports decisions. */
+    private final RequestReport report;
+
     /** Builds requests to endpoints. */
     private final RequestWriter writer;
 
@@ -112,6 +108,7 @@
         this.route = route;
         this.workspace = workspace;
         service = route.service(RequestDraw.of(request.id()));
+        report = new RequestReport(context, request, route.name(), service, arrivedMillis);
         this.writer = writer;
         relay = new AnswerRelay(caller);
         this.arrivedMillis = arrivedMillis;
@@ -150,23 +147,7 @@
         }
         Placement placement = chosen.get();
         tried.add(placement.endpoint().incarnation());
-        LOGGER.atInfo()
-                .with(LogFields.REQUEST, request.id())
-                .with(LogFields.SERVICE, service)
-                .with(LogFields.ENDPOINT, placement.endpoint().incarnation())
-                .with(LogFields.REASON, placement.reason().text())
-                .with(LogFields.LOAD, placement.load())
-                .with(
-                        LogFields.PROMPT_PART,
-                        request.prompt()
-                                .flatMap(Prompt::lastSharedPart)
-                                .map(PromptPart::id)
-                                .orElse(null))
-                .with(LogFields.FETCH_FROM, placement.fetchAddress().orElse(null))
-                .with(LogFields.VERSION, context.table().version())
-                .with(LogFields.REMAINING_MILLIS, remainingMillis())
-                .log("request_placed");
-        context.metrics().counter("placements_total", placement.reason().text()).inc();
+        report.placed(placement, remainingMillis());
         Attempt begun = new Attempt(context, this, placement);
         attempt = begun;
         awaitAnswer(begun);
@@ -319,16 +300,7 @@
         if (mustPay && !context.budget(service).trySpend()) {
             next = state(verdict, false).next();
         }
-        LOGGER.atInfo()
-                .with(LogFields.REQUEST, request.id())
-                .with(LogFields.ENDPOINT, from.endpoint().incarnation())
-                .with(LogFields.REASON, cause)
-                .with(LogFields.VERDICT, verdict.name())
-                .with(LogFields.SENDS, sends)
-                .with(LogFields.ELAPSED_MILLIS, context.nowMillis() - arrivedMillis)
-                .with(LogFields.OUTCOME, next.text())
-                .log("attempt_failed");
-        context.metrics().counter("failed_attempts_total", next.text()).inc();
+        report.attemptFailed(from.endpoint(), cause, verdict, sends, next);
         switch (next) {
             case REPEAT, RESUME -> {
                 relay.dropPartialEvent();
@@ -475,18 +447,7 @@
         if (timer != null && timer.isActive()) {
             timer.cancel();
         }
-        long elapsedMillis = context.nowMillis() - arrivedMillis;
-        context.metrics().histogram("request_ms").update(elapsedMillis);
-        context.metrics().counter("requests_total", status.codeAsText().toString()).inc();
-        LOGGER.atInfo()
-                .with(LogFields.REQUEST, request.id())
-                .with(LogFields.ROUTE, route.name())
-                .with(LogFields.STATUS, status.code())
-                .with(LogFields.OUTCOME, outcome)
-                .with(LogFields.VERDICT, verdict.name())
-                .with(LogFields.SENDS, sends)
-                .with(LogFields.ELAPSED_MILLIS, elapsedMillis)
-                .log("request_ended");
+        report.ended(status, outcome, verdict, sends);
     }
 
     /**
--- /dev/null
+++ b/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/exchange/RequestReport.java
@@ -0,0 +1,136 @@
+package io.chicorytrestle.gateway.exchange;
+
+import com.google.common.flogger.FluentLogger;
+import io.chicorytrestle.core.attempt.NextStep;
+import io.chicorytrestle.core.placement.Placement;
+import io.chicorytrestle.core.placement.Prompt;
+import io.chicorytrestle.core.placement.PromptPart;
+import io.chicorytrestle.core.placement.ServingEndpoint;
+import io.chicorytrestle.core.verdict.Verdict;
+import io.chicorytrestle.gateway.dialect.GatewayRequest;
+import io.chicorytrestle.gateway.operations.LogFields;
+import io.netty.handler.codec.http.HttpResponseStatus;
+
+/** Logs and counts the decisions on one request. */
+final class RequestReport {
+
+    /** Reports decisions. */
+    private static final FluentLogger LOGGER = FluentLogger.forEnclosingClass();
+
+    /** What all requests share. */
+    private final GatewayContext context;
+
+    /** The request. */
+    private final GatewayRequest request;
+
+    /** The name of the route. */
+    private final String route;
+
+    /** The name of the service. */
+    private final String service;
+
+    /** The time of arrival in milliseconds. */
+    private final long arrivedMillis;
+
+    /**
+     * Creates a new report.
+     *
+     * @param context What all requests share.
+     * @param request The request.
+     * @param route The name of the route.
+     * @param service The name of the service.
+     * @param arrivedMillis The time of arrival in milliseconds.
+     */
+    RequestReport(
+            GatewayContext context,
+            GatewayRequest request,
+            String route,
+            String service,
+            long arrivedMillis) {
+        this.context = context;
+        this.request = request;
+        this.route = route;
+        this.service = service;
+        this.arrivedMillis = arrivedMillis;
+    }
+
+    /**
+     * Reports that an endpoint was chosen.
+     *
+     * @param placement The endpoint and why it was chosen.
+     * @param remainingMillis The time that is left, in milliseconds.
+     */
+    void placed(Placement placement, long remainingMillis) {
+        LOGGER.atInfo()
+                .with(LogFields.REQUEST, request.id())
+                .with(LogFields.SERVICE, service)
+                .with(LogFields.ENDPOINT, placement.endpoint().incarnation())
+                .with(LogFields.REASON, placement.reason().text())
+                .with(LogFields.LOAD, placement.load())
+                .with(
+                        LogFields.PROMPT_PART,
+                        request.prompt()
+                                .flatMap(Prompt::lastSharedPart)
+                                .map(PromptPart::id)
+                                .orElse(null))
+                .with(LogFields.FETCH_FROM, placement.fetchAddress().orElse(null))
+                .with(LogFields.VERSION, context.table().version())
+                .with(LogFields.REMAINING_MILLIS, remainingMillis)
+                .log("request_placed");
+        context.metrics().counter("placements_total", placement.reason().text()).inc();
+    }
+
+    /**
+     * Reports that an attempt failed, and what follows.
+     *
+     * @param endpoint The endpoint.
+     * @param cause What happened.
+     * @param verdict Whether the request may have been executed.
+     * @param sends The endpoints to which the request was sent.
+     * @param next What follows.
+     */
+    void attemptFailed(
+            ServingEndpoint endpoint, String cause, Verdict verdict, int sends, NextStep next) {
+        LOGGER.atInfo()
+                .with(LogFields.REQUEST, request.id())
+                .with(LogFields.ENDPOINT, endpoint.incarnation())
+                .with(LogFields.REASON, cause)
+                .with(LogFields.VERDICT, verdict.name())
+                .with(LogFields.SENDS, sends)
+                .with(LogFields.ELAPSED_MILLIS, elapsedMillis())
+                .with(LogFields.OUTCOME, next.text())
+                .log("attempt_failed");
+        context.metrics().counter("failed_attempts_total", next.text()).inc();
+    }
+
+    /**
+     * Reports the end of the request.
+     *
+     * @param status The status that the caller received, if any.
+     * @param outcome What happened.
+     * @param verdict Whether the request may have been executed.
+     * @param sends The endpoints to which the request was sent.
+     */
+    void ended(HttpResponseStatus status, String outcome, Verdict verdict, int sends) {
+        context.metrics().histogram("request_ms").update(elapsedMillis());
+        context.metrics().counter("requests_total", status.codeAsText().toString()).inc();
+        LOGGER.atInfo()
+                .with(LogFields.REQUEST, request.id())
+                .with(LogFields.ROUTE, route)
+                .with(LogFields.STATUS, status.code())
+                .with(LogFields.OUTCOME, outcome)
+                .with(LogFields.VERDICT, verdict.name())
+                .with(LogFields.SENDS, sends)
+                .with(LogFields.ELAPSED_MILLIS, elapsedMillis())
+                .log("request_ended");
+    }
+
+    /**
+     * Returns the time since the arrival.
+     *
+     * @return The time in milliseconds.
+     */
+    private long elapsedMillis() {
+        return context.nowMillis() - arrivedMillis;
+    }
+}
--- a/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/front/CallerConnection.java
+++ b/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/front/CallerConnection.java
@@ -147,6 +147,7 @@
             link.write(OwnAnswers.proceed());
         }
         head = request;
+        awaitRequest();
         return true;
     }
 
