Cut a resumed stream when no endpoint is left; pass on an endpoint's own failure when retries are spent

Cause: found in reading. A stream that broke midway and had no other endpoint to go on at got the head of a 502 written into its chunked body; the encoder refused it and the request hung. And a 500 that an endpoint had answered was replaced by 502 when the retry budget denied the repeat. Change: such a stream is cut; the budget is asked before the answer is given up. Test: testAnswerWhenResumableStreamBreaksAndNoOtherEndpointIsLeft did not end within 60 s before, passes now; the other 21 of its class pass.

--- a/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/exchange/Exchange.java
+++ b/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/exchange/Exchange.java
@@ -138,7 +138,9 @@
                                 tried,
                                 context.nowMillis());
         if (chosen.isEmpty()) {
-            if (verdict == Verdict.NOT_RUN) {
+            if (relay.isStarted()) {
+                cut("no other endpoint is left");
+            } else if (verdict == Verdict.NOT_RUN) {
                 refuse(tried.isEmpty() ? RefusalReason.NO_ENDPOINT : RefusalReason.UNREACHABLE);
             } else {
                 fail("no other endpoint is left");
@@ -257,9 +259,11 @@
     void answered(Attempt from, HttpResponse head, byte[] body) {
         verdict = Verdict.RAN;
         boolean isServerError = head.status().codeClass() == HttpStatusClass.SERVER_ERROR;
+        boolean canRepeat = isServerError && next() == NextStep.REPEAT;
         if (relay.isStarted()) {
             step(from, "endpoint answered " + head.status());
-        } else if (isServerError && next() == NextStep.REPEAT) {
+        } else if (canRepeat && context.budget(service).trySpend()) {
+            isRetryPaid = true;
             step(from, "endpoint answered " + head.status());
         } else {
             finish(head.status(), "answered");
