--- a/chicorytrestle-tool/src/main/java/io/chicorytrestle/tool/ToolMain.java
+++ b/chicorytrestle-tool/src/main/java/io/chicorytrestle/tool/ToolMain.java
@@ -127,7 +127,7 @@
     private static List<Command> commands() {
         List<Command> commands = new ArrayList<>();
         commands.addAll(Arrays.asList(FileCommand.values()));
-        commands.addAll(Arrays.asList(ExplainCommand.values()));
+        commands.addAll(Arrays.asList(TraceCommand.values()));
         commands.addAll(Arrays.asList(OperatorCommand.values()));
         return List.copyOf(commands);
     }
--- a/chicorytrestle-tool/src/main/java/io/chicorytrestle/tool/ExplainCommand.java
+++ b/chicorytrestle-tool/src/main/java/io/chicorytrestle/tool/TraceCommand.java
@@ -17,10 +17,10 @@
 import org.apache.commons.cli.Options;
 
 /** Tells the story of one request from the logs of several instances. */
-enum ExplainCommand implements Command {
+enum TraceCommand implements Command {
 
     /** The only such command. */
-    EXPLAIN;
+    TRACE;
 
     /** Reads log lines. */
     private static final ObjectMapper MAPPER = new ObjectMapper();
@@ -33,7 +33,7 @@
 
     @Override
     public String words() {
-        return "explain";
+        return "trace";
     }
 
     @Override
@@ -56,7 +56,7 @@
         List<String> arguments = line.getArgList();
         if (arguments.size() < 2) {
             throw new CommandException(
-                    ExitCode.USAGE, "Cannot explain without a request and a log: " + arguments());
+                    ExitCode.USAGE, "Cannot trace without a request and a log: " + arguments());
         }
         List<Told> story = new ArrayList<>();
         for (String file : arguments.subList(1, arguments.size())) {
--- a/chicorytrestle-tool/src/test/java/io/chicorytrestle/tool/ExplainCommandTest.java
+++ b/chicorytrestle-tool/src/test/java/io/chicorytrestle/tool/TraceCommandTest.java
@@ -16,7 +16,7 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
 
-class ExplainCommandTest {
+class TraceCommandTest {
 
     private static final String PLACED =
             "{\"time_ms\":5,\"event\":\"request_placed\",\"request\":\"r1\",\"endpoint\":\"e@1\"}\n";
@@ -38,7 +38,7 @@
         Path first = log("first.log", ENDED + FAILED);
         Path second = log("second.log", "   3.2 node-1 " + PLACED + PLACED.replace("r1", "r2"));
 
-        ExitCode code = run("explain", "r1", first.toString(), second.toString());
+        ExitCode code = run("trace", "r1", first.toString(), second.toString());
 
         assertThat(code, equalTo(ExitCode.SUCCESS));
         assertThat(
@@ -51,7 +51,7 @@
 
     @Test
     void testRunWhenNoLineIsAboutTheRequest() throws IOException {
-        ExitCode code = run("explain", "r9", log("first.log", PLACED).toString());
+        ExitCode code = run("trace", "r9", log("first.log", PLACED).toString());
 
         assertThat(code, equalTo(ExitCode.FAULTS_FOUND));
         assertThat(text(), containsString("did not reach"));
@@ -59,8 +59,7 @@
 
     @Test
     void testRunWhenLogIsMissing() {
-        assertThat(
-                run("explain", "r1", folder.resolve("none").toString()), equalTo(ExitCode.USAGE));
+        assertThat(run("trace", "r1", folder.resolve("none").toString()), equalTo(ExitCode.USAGE));
     }
 
     private Path log(String name, String lines) throws IOException {
