Fence requests that crash endpoints; use the fleet's slack of retries

Cause: the gateway sent a request that crashes each endpoint on and on, at every instance, and repeated it itself. Also, each instance saved up two retries whatever the fleet's slack, so that the loss of an endpoint with many requests left most of them without a repetition.

Change: CrashBook counts the endpoints that crashed under a request's content and workspace, told to other instances in beats; the third crash fences it, and a request that is suspected from earlier attempts is not repeated. RetryShare divides the slack by the largest number of instances ever known. Exchange's counting moved to Progress; both refusals share Refusals.

Ruled out: the daemon's guard by turns, which waits for other instances before a suspect runs and needs a shared secret.

Shown by CrashBookTest, RetryShareTest and PlatformPathTest .testAnswerWhenRequestCrashesEachEndpoint.

--- a/chicorytrestle-core/src/main/java/io/chicorytrestle/core/attempt/NextStep.java
+++ b/chicorytrestle-core/src/main/java/io/chicorytrestle/core/attempt/NextStep.java
@@ -20,6 +20,15 @@
     /** The caller's connection is closed, since part of the answer was passed on. */
     CUT;
 
+    /**
+     * Returns {@code true} if the request is sent to another endpoint.
+     *
+     * @return {@code true} if the request is sent to another endpoint.
+     */
+    public boolean isRetry() {
+        return this == REPEAT || this == RESUME;
+    }
+
     /**
      * Returns the name in log lines.
      *
--- a/chicorytrestle-core/src/main/java/io/chicorytrestle/core/limit/RetryBudget.java
+++ b/chicorytrestle-core/src/main/java/io/chicorytrestle/core/limit/RetryBudget.java
@@ -22,7 +22,7 @@
     private final double ratio;
 
     /** The most retries that are saved up. */
-    private final double savedRetries;
+    private double savedRetries;
 
     /** The retries that may be spent now. */
     private double balance;
@@ -38,9 +38,7 @@
         if (!(ratio >= 0 && ratio <= 1)) {
             throw new IllegalArgumentException("Cannot use retry ratio: " + ratio);
         }
-        if (!(savedRetries >= 1)) {
-            throw new IllegalArgumentException("Cannot save up retries: " + savedRetries);
-        }
+        checkSaved(savedRetries);
         this.ratio = ratio;
         this.savedRetries = savedRetries;
         balance = savedRetries;
@@ -55,6 +53,35 @@
         return new RetryBudget(DEFAULT_RATIO, DEFAULT_SAVED_RETRIES);
     }
 
+    /**
+     * Checks how many retries are saved up.
+     *
+     * @param savedRetries The most retries that are saved up.
+     * @throws IllegalArgumentException If the value is out of range.
+     */
+    private static void checkSaved(double savedRetries) {
+        if (!(savedRetries >= 1)) {
+            throw new IllegalArgumentException("Cannot save up retries: " + savedRetries);
+        }
+    }
+
+    /**
+     * Changes how many retries are saved up. A larger number is reached by first attempts only.
+     *
+     * @param savedRetries The most retries that are saved up, at least one.
+     * @throws IllegalArgumentException If the value is out of range.
+     */
+    public void saveUpTo(double savedRetries) {
+        checkSaved(savedRetries);
+        lock.lock();
+        try {
+            this.savedRetries = savedRetries;
+            balance = Math.min(balance, savedRetries);
+        } finally {
+            lock.unlock();
+        }
+    }
+
     /** Takes note of a first attempt. */
     public void onFirstAttempt() {
         lock.lock();
--- /dev/null
+++ b/chicorytrestle-core/src/main/java/io/chicorytrestle/core/limit/RetryBudgets.java
@@ -0,0 +1,58 @@
+package io.chicorytrestle.core.limit;
+
+import java.util.HashMap;
+import java.util.Map;
+
+/** Keeps this instance's part of each service's retry budget. It is confined to one thread. */
+public final class RetryBudgets {
+
+    /** Divides the fleet's allowance. */
+    private final RetryShare share;
+
+    /** The budgets by service. */
+    private final Map<String, RetryBudget> budgets = new HashMap<>();
+
+    /** The largest number of instances that were known at any time. */
+    private int mostInstances;
+
+    /**
+     * Creates new budgets.
+     *
+     * @param share Divides the fleet's allowance.
+     */
+    public RetryBudgets(RetryShare share) {
+        this.share = share;
+    }
+
+    /**
+     * Returns the budget of a service.
+     *
+     * @param service The name of the service.
+     * @return The budget.
+     */
+    public RetryBudget of(String service) {
+        return budgets.computeIfAbsent(
+                service,
+                ignored -> {
+                    RetryBudget budget = share.newBudget();
+                    if (mostInstances > 0) {
+                        budget.saveUpTo(share.savedRetries(mostInstances));
+                    }
+                    return budget;
+                });
+    }
+
+    /**
+     * Takes note of how many instances are known. Fewer than before change nothing, since those out
+     * of sight may still spend their parts.
+     *
+     * @param instances The number of known instances with this one.
+     */
+    public void known(int instances) {
+        if (instances > mostInstances) {
+            mostInstances = instances;
+            double savedRetries = share.savedRetries(instances);
+            budgets.values().forEach(budget -> budget.saveUpTo(savedRetries));
+        }
+    }
+}
--- a/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/Gateway.java
+++ b/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/Gateway.java
@@ -5,7 +5,7 @@
 import io.activej.reactor.nio.NioReactor;
 import io.chicorytrestle.core.blackboard.Blackboard;
 import io.chicorytrestle.core.blackboard.Controller;
-import io.chicorytrestle.core.limit.RetryBudget;
+import io.chicorytrestle.core.limit.RetryShare;
 import io.chicorytrestle.core.placement.PlacementSettings;
 import io.chicorytrestle.core.placement.PlacementTopics;
 import io.chicorytrestle.core.process.SignalWatch;
@@ -60,12 +60,6 @@
      */
     private static final int BODY_SHARE = 4;
 
-    /** The retries that one instance may save up: its part of the fleet's slack, rounded up. */
-    private static final double SAVED_RETRIES = 2;
-
-    /** The share of the fleet's retry ratio that is used, so that windows never exceed it. */
-    private static final double RETRY_RATIO_SHARE = 0.8;
-
     /** The share of the allowed multiple of the mean load that is used, since counts are late. */
     private static final double LOAD_MULTIPLE_SHARE = 0.8;
 
@@ -145,7 +139,12 @@
         reactor.keepAlive(true);
         context =
                 new GatewayContext(
-                        reactor, blackboard, dialect, metrics, placement(), this::retryBudget);
+                        reactor,
+                        blackboard,
+                        dialect,
+                        metrics,
+                        placement(),
+                        new RetryShare(settings.retryRatio(), settings.retrySlack()));
         knowledge =
                 new FleetKnowledge(
                         blackboard,
@@ -171,10 +170,12 @@
                         settings.seeds(),
                         knowledge,
                         context.loads(),
+                        context.crashes(),
                         context.reach(),
                         codec);
         controllers.add(knowledge);
         controllers.add(context::step);
+        controllers.add(nowMillis -> context.budgets().known(fleet.size() + 1));
         showGauges();
     }
 
@@ -190,15 +191,6 @@
                 LOAD_SLACK);
     }
 
-    /**
-     * Makes the retry budget of a service.
-     *
-     * @return This instance's part of the fleet's budget.
-     */
-    private RetryBudget retryBudget() {
-        return new RetryBudget(settings.retryRatio() * RETRY_RATIO_SHARE, SAVED_RETRIES);
-    }
-
     /** Shows figures that are read when asked for. */
     private void showGauges() {
         metrics.gauge("peers", fleet::size);
--- a/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/endpoint/AnswerListener.java
+++ b/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/endpoint/AnswerListener.java
@@ -26,9 +26,17 @@
     void completed();
 
     /**
-     * Takes note of an answer that will not be completed. The request may have run.
+     * Takes note of an answer that is not the endpoint's to this request. The request may have run.
      *
-     * @param cause What happened to the connection.
+     * @param cause What is wrong with the answer.
      */
     void broken(String cause);
+
+    /**
+     * Takes note of a connection that broke before the answer was complete. The request may have
+     * run, and the endpoint may have crashed.
+     *
+     * @param cause What happened to the connection.
+     */
+    void connectionLost(String cause);
 }
--- a/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/endpoint/EndpointLink.java
+++ b/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/endpoint/EndpointLink.java
@@ -212,28 +212,50 @@
 
     @Override
     public void ended() {
-        fail("endpoint ended the connection");
+        lose("endpoint ended the connection");
     }
 
     @Override
     public void failed(Exception cause) {
-        fail("connection broke: " + cause.getMessage());
+        lose("connection broke: " + cause.getMessage());
     }
 
     /**
-     * Closes the connection and tells whoever waits.
+     * Closes the connection and tells whoever waits that the answer is unusable.
      *
-     * @param cause What happened.
+     * @param cause What is wrong with the answer.
      */
     private void fail(String cause) {
+        AnswerListener taker = discard();
+        if (taker != null) {
+            taker.broken(cause);
+        }
+    }
+
+    /**
+     * Closes the connection and tells whoever waits that it broke.
+     *
+     * @param cause What happened.
+     */
+    private void lose(String cause) {
+        AnswerListener taker = discard();
+        if (taker != null) {
+            taker.connectionLost(cause);
+        }
+    }
+
+    /**
+     * Closes the connection for good.
+     *
+     * @return Who waited for an answer, or null if nobody did.
+     */
+    private @Nullable AnswerListener discard() {
         isReusable = false;
         link.close();
         pool.drop(this);
         AnswerListener taker = listener;
         listener = null;
-        if (taker != null) {
-            taker.broken(cause);
-        }
+        return taker;
     }
 
     /** Closes an idle connection. */
--- a/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/exchange/Attempt.java
+++ b/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/exchange/Attempt.java
@@ -269,12 +269,24 @@
 
     @Override
     public void broken(String cause) {
-        if (isOver) {
-            return;
+        if (!isOver) {
+            endBroken();
+            exchange.failed(this, Verdict.MAY_HAVE_RUN, cause);
+        }
+    }
+
+    @Override
+    public void connectionLost(String cause) {
+        if (!isOver) {
+            endBroken();
+            exchange.connectionLost(this, cause);
         }
+    }
+
+    /** Takes note of the end of the attempt without an answer. */
+    private void endBroken() {
         end();
         context.health().broke(endpoint().incarnation(), context.nowMillis());
-        exchange.failed(this, Verdict.MAY_HAVE_RUN, cause);
     }
 
     /** Enumerates how an answer is treated. */
--- /dev/null
+++ b/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/exchange/CrashFence.java
@@ -0,0 +1,122 @@
+package io.chicorytrestle.gateway.exchange;
+
+import io.chicorytrestle.core.poison.CrashBook;
+import io.chicorytrestle.core.route.Workspace;
+import io.netty.handler.codec.http.HttpRequest;
+import java.nio.ByteBuffer;
+import java.nio.charset.StandardCharsets;
+import java.security.MessageDigest;
+import java.security.NoSuchAlgorithmException;
+import java.util.HexFormat;
+import java.util.Optional;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * Tells what is held against one request. Its content is hashed only once something is held against
+ * any request. It is confined to the event loop's thread.
+ */
+final class CrashFence {
+
+    /** The bytes of the hash that are kept, too many to find an equal one of another workspace. */
+    private static final int HASH_BYTES = 12;
+
+    /** What is held against requests. */
+    private final CrashBook book;
+
+    /** The workspace, if any. */
+    private final Optional<Workspace> workspace;
+
+    /** The head as the caller sent it. */
+    private final HttpRequest head;
+
+    /** The body. */
+    private final byte[] body;
+
+    /** The hash of the content, or null before it was needed. */
+    private @Nullable String hash;
+
+    /**
+     * Creates a new fence.
+     *
+     * @param book What is held against requests.
+     * @param workspace The workspace, if any.
+     * @param head The head as the caller sent it.
+     * @param body The body.
+     */
+    CrashFence(CrashBook book, Optional<Workspace> workspace, HttpRequest head, byte[] body) {
+        this.book = book;
+        this.workspace = workspace;
+        this.head = head;
+        this.body = body;
+    }
+
+    /**
+     * Returns {@code true} if the request must not run now.
+     *
+     * @param nowMillis The present time in milliseconds.
+     * @return {@code true} if the request must not run now.
+     */
+    boolean isClosed(long nowMillis) {
+        return !book.isEmpty() && book.isFenced(fingerprint(), nowMillis);
+    }
+
+    /**
+     * Takes note of an endpoint that broke the connection on which it ran the request.
+     *
+     * @param incarnation The incarnation of the endpoint.
+     * @param nowMillis The present time in milliseconds.
+     * @return The endpoints that crashed under requests of the same content.
+     */
+    int crashed(String incarnation, long nowMillis) {
+        book.crashed(fingerprint(), incarnation, nowMillis);
+        return book.crashes(fingerprint());
+    }
+
+    /**
+     * Takes note of a request that ran whole.
+     *
+     * @param nowMillis The present time in milliseconds.
+     */
+    void ranWhole(long nowMillis) {
+        if (!book.isEmpty()) {
+            book.ranWhole(fingerprint(), nowMillis);
+        }
+    }
+
+    /**
+     * Returns the hash of the request's content and workspace.
+     *
+     * @return The hash in hexadecimal digits.
+     * @throws IllegalStateException Never, since each runtime knows the hash function.
+     */
+    private String fingerprint() {
+        String known = hash;
+        if (known != null) {
+            return known;
+        }
+        try {
+            MessageDigest digest = MessageDigest.getInstance("SHA-256");
+            update(digest, workspace.map(Workspace::name).orElse(""));
+            update(digest, head.method().name());
+            update(digest, head.uri());
+            digest.update(body);
+            known = HexFormat.of().formatHex(digest.digest(), 0, HASH_BYTES);
+            hash = known;
+            return known;
+        } catch (NoSuchAlgorithmException exception) {
+            throw new IllegalStateException("Hash function is missing", exception);
+        }
+    }
+
+    /**
+     * Adds a text and its length, so that no two lists of texts look the same.
+     *
+     * @param digest Takes the text.
+     * @param text The text.
+     */
+    private static void update(MessageDigest digest, String text) {
+        byte[] bytes = text.getBytes(StandardCharsets.UTF_8);
+        digest.update(ByteBuffer.allocate(Integer.BYTES).putInt(bytes.length).array());
+        digest.update(bytes);
+    }
+}
--- a/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/exchange/Exchange.java
+++ b/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/exchange/Exchange.java
@@ -1,7 +1,6 @@
 package io.chicorytrestle.gateway.exchange;
 
 import io.activej.reactor.schedule.ScheduledRunnable;
-import io.chicorytrestle.core.attempt.AttemptState;
 import io.chicorytrestle.core.attempt.NextStep;
 import io.chicorytrestle.core.attempt.Patience;
 import io.chicorytrestle.core.attempt.RefusalReason;
@@ -18,7 +17,6 @@
 import java.util.HashSet;
 import java.util.Optional;
 import java.util.Set;
-import java.util.concurrent.ThreadLocalRandom;
 import org.jspecify.annotations.Nullable;
 
 /**
@@ -27,8 +25,8 @@
  */
 final class Exchange {
 
-    /** The most endpoints to which connections are tried, beside those that were sent to. */
-    private static final int MAXIMUM_CONNECTS = 4;
+    /** The crashes under a request, this attempt's own not counted, that forbid repetitions. */
+    private static final int SUSPICIOUS_CRASHES = 1;
 
     /** What all requests share. */
     private final GatewayContext context;
@@ -54,6 +52,12 @@
     /** Passes the answer on. */
     private final AnswerRelay relay;
 
+    /** Counts attempts. */
+    private final Progress progress;
+
+    /** Tells what is held against the request. */
+    private final CrashFence fence;
+
     /** The time of arrival in milliseconds. */
     private final long arrivedMillis;
 
@@ -69,18 +73,6 @@
     /** Ends the request when its time is over, or null before the start. */
     private @Nullable ScheduledRunnable timer;
 
-    /** Whether any attempt may have run the request. */
-    private Verdict verdict = Verdict.NOT_RUN;
-
-    /** The endpoints to which the request was sent. */
-    private int sends;
-
-    /** The endpoints to which no connection could be made. */
-    private int missed;
-
-    /** Whether the retry budget was charged for the next attempt. */
-    private boolean isRetryPaid;
-
     /** Whether the request ended. */
     private boolean isOver;
 
@@ -92,6 +84,7 @@
      * @param route The route.
      * @param workspace The workspace, if the route requires one.
      * @param writer Builds requests to endpoints.
+     * @param fence Tells what is held against the request.
      * @param caller Receives the answer.
      * @param arrivedMillis The time of arrival in milliseconds.
      */
@@ -101,6 +94,7 @@
             Route route,
             Optional<Workspace> workspace,
             RequestWriter writer,
+            CrashFence fence,
             Caller caller,
             long arrivedMillis) {
         this.context = context;
@@ -110,6 +104,8 @@
         service = route.service(RequestDraw.of(request.id()));
         report = new RequestReport(context, request, route.name(), service, arrivedMillis);
         this.writer = writer;
+        this.fence = fence;
+        progress = new Progress(route, context.budgets().of(service));
         relay = new AnswerRelay(caller);
         this.arrivedMillis = arrivedMillis;
         dueMillis =
@@ -122,7 +118,6 @@
     /** Starts to serve the request. */
     void start() {
         context.begin(this);
-        context.budget(service).onFirstAttempt();
         timer = context.reactor().delayBackground(Math.max(1, remainingMillis()), this::expire);
         place();
     }
@@ -140,7 +135,7 @@
         if (chosen.isEmpty()) {
             if (relay.isStarted()) {
                 cut("no other endpoint is left");
-            } else if (verdict == Verdict.NOT_RUN) {
+            } else if (progress.verdict() == Verdict.NOT_RUN) {
                 refuse(tried.isEmpty() ? RefusalReason.NO_ENDPOINT : RefusalReason.UNREACHABLE);
             } else {
                 fail("no other endpoint is left");
@@ -188,7 +183,7 @@
      * @param from The attempt.
      */
     void sent(Attempt from) {
-        sends++;
+        progress.sent();
         request.prompt()
                 .ifPresent(
                         prompt ->
@@ -221,7 +216,7 @@
      * @param head The head.
      */
     void streamStarted(Attempt from, HttpResponse head) {
-        verdict = Verdict.RAN;
+        progress.note(Verdict.RAN);
         if (!relay.isStarted()) {
             context.metrics()
                     .histogram("answer_start_ms")
@@ -245,6 +240,7 @@
      * @param from The attempt.
      */
     void streamCompleted(Attempt from) {
+        fence.ranWhole(context.nowMillis());
         finish(HttpResponseStatus.OK, "stream_completed");
         relay.complete();
     }
@@ -257,20 +253,35 @@
      * @param body The body.
      */
     void answered(Attempt from, HttpResponse head, byte[] body) {
-        verdict = Verdict.RAN;
+        progress.note(Verdict.RAN);
         boolean isServerError = head.status().codeClass() == HttpStatusClass.SERVER_ERROR;
-        boolean canRepeat = isServerError && next() == NextStep.REPEAT;
-        if (relay.isStarted()) {
-            step(from, "endpoint answered " + head.status());
-        } else if (canRepeat && context.budget(service).trySpend()) {
-            isRetryPaid = true;
+        boolean isGivenUp =
+                isServerError
+                        && progress.canGiveUp(
+                                Verdict.RAN, true, relay.isStarted(), remainingMillis());
+        if (relay.isStarted() || isGivenUp) {
             step(from, "endpoint answered " + head.status());
         } else {
+            fence.ranWhole(context.nowMillis());
             finish(head.status(), "answered");
             relay.whole(head, body);
         }
     }
 
+    /**
+     * Takes note of an attempt that failed since the connection broke, and goes on.
+     *
+     * @param from The attempt.
+     * @param cause What happened.
+     */
+    void connectionLost(Attempt from, String cause) {
+        int crashes = fence.crashed(from.endpoint().incarnation(), context.nowMillis());
+        if (crashes - progress.sends() >= SUSPICIOUS_CRASHES) {
+            progress.suspect();
+        }
+        failed(from, Verdict.MAY_HAVE_RUN, cause);
+    }
+
     /**
      * Takes note of a failed attempt and goes on.
      *
@@ -282,9 +293,9 @@
         if (isOver) {
             return;
         }
-        verdict = verdict.and(failed);
+        progress.note(failed);
         if (!from.isSent()) {
-            missed++;
+            progress.missed();
         }
         step(from, cause);
     }
@@ -297,14 +308,8 @@
      */
     private void step(Attempt from, String cause) {
         attempt = null;
-        NextStep next = next();
-        boolean isRepeat = next == NextStep.REPEAT || next == NextStep.RESUME;
-        boolean mustPay = isRepeat && from.isSent() && !isRetryPaid;
-        isRetryPaid = false;
-        if (mustPay && !context.budget(service).trySpend()) {
-            next = state(verdict, false).next();
-        }
-        report.attemptFailed(from.endpoint(), cause, verdict, sends, next);
+        NextStep next = progress.next(from.isSent(), relay.isStarted(), remainingMillis());
+        report.attemptFailed(from.endpoint(), cause, progress, next);
         switch (next) {
             case REPEAT, RESUME -> {
                 relay.dropPartialEvent();
@@ -316,33 +321,6 @@
         }
     }
 
-    /**
-     * Returns what follows a failed attempt if the retry budget allows another.
-     *
-     * @return The next step.
-     */
-    private NextStep next() {
-        return state(verdict, missed < MAXIMUM_CONNECTS).next();
-    }
-
-    /**
-     * Returns the state of the request.
-     *
-     * @param assumed Whether the request may have been executed.
-     * @param isRetryAllowed Whether another attempt may be made.
-     * @return The state.
-     */
-    private AttemptState state(Verdict assumed, boolean isRetryAllowed) {
-        return new AttemptState(
-                route.repeatability(),
-                assumed,
-                sends,
-                route.maximumAttempts(),
-                relay.isStarted(),
-                isRetryAllowed,
-                remainingMillis());
-    }
-
     /** Ends a request whose time is over. */
     private void expire() {
         if (isOver) {
@@ -351,13 +329,13 @@
         Attempt running = attempt;
         if (running != null) {
             if (running.isSent()) {
-                verdict = verdict.and(Verdict.MAY_HAVE_RUN);
+                progress.note(Verdict.MAY_HAVE_RUN);
             }
             running.cancel();
         }
         if (relay.isStarted()) {
             cut("deadline passed");
-        } else if (verdict == Verdict.NOT_RUN) {
+        } else if (progress.verdict() == Verdict.NOT_RUN) {
             refuse(RefusalReason.DEADLINE);
         } else {
             finish(HttpResponseStatus.GATEWAY_TIMEOUT, "deadline passed");
@@ -371,12 +349,8 @@
      * @param reason Why.
      */
     private void refuse(RefusalReason reason) {
-        long retryAfterMillis =
-                reason.retryAfterMillis(
-                        remainingMillis(), ThreadLocalRandom.current().nextDouble());
-        context.metrics().counter("refusals_total", reason.text()).inc();
         finish(HttpResponseStatus.SERVICE_UNAVAILABLE, "refused: " + reason.text());
-        relay.own(HttpResponseStatus.SERVICE_UNAVAILABLE, reason.text(), retryAfterMillis);
+        Refusals.send(context, relay, reason, remainingMillis());
     }
 
     /**
@@ -419,10 +393,9 @@
      */
     private void giveUp(Attempt running, String cause) {
         Verdict worst = running.isSent() ? Verdict.MAY_HAVE_RUN : Verdict.NOT_RUN;
-        NextStep next = state(verdict.and(worst), missed < MAXIMUM_CONNECTS).next();
-        boolean canGoOn = next == NextStep.REPEAT || next == NextStep.RESUME;
-        if (canGoOn && (!running.isSent() || context.budget(service).trySpend())) {
-            isRetryPaid = running.isSent();
+        boolean isGivenUp =
+                progress.canGiveUp(worst, running.isSent(), relay.isStarted(), remainingMillis());
+        if (isGivenUp) {
             running.cancel();
             failed(running, worst, cause);
         }
@@ -451,7 +424,7 @@
         if (timer != null && timer.isActive()) {
             timer.cancel();
         }
-        report.ended(status, outcome, verdict, sends);
+        report.ended(status, outcome, progress);
     }
 
     /**
--- a/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/exchange/GatewayContext.java
+++ b/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/exchange/GatewayContext.java
@@ -3,7 +3,8 @@
 import com.google.common.flogger.FluentLogger;
 import io.activej.reactor.nio.NioReactor;
 import io.chicorytrestle.core.blackboard.Blackboard;
-import io.chicorytrestle.core.limit.RetryBudget;
+import io.chicorytrestle.core.limit.RetryBudgets;
+import io.chicorytrestle.core.limit.RetryShare;
 import io.chicorytrestle.core.placement.EndpointHealth;
 import io.chicorytrestle.core.placement.EndpointPicker;
 import io.chicorytrestle.core.placement.HolderBook;
@@ -12,18 +13,16 @@
 import io.chicorytrestle.core.placement.PlacementTopics;
 import io.chicorytrestle.core.placement.ServingView;
 import io.chicorytrestle.core.placement.ZoneReach;
+import io.chicorytrestle.core.poison.CrashBook;
 import io.chicorytrestle.core.route.RouteTopics;
 import io.chicorytrestle.core.route.RoutingTable;
 import io.chicorytrestle.gateway.dialect.RequestDialect;
 import io.chicorytrestle.gateway.endpoint.EndpointPool;
 import io.chicorytrestle.gateway.operations.GatewayMetrics;
 import io.chicorytrestle.gateway.operations.LogFields;
-import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
-import java.util.Map;
 import java.util.Set;
-import java.util.function.Supplier;
 
 /** Holds what all requests of an instance share. It is confined to the event loop's thread. */
 public final class GatewayContext {
@@ -61,8 +60,11 @@
     /** Chooses endpoints. */
     private final EndpointPicker picker;
 
-    /** Makes the retry budget of a service. */
-    private final Supplier<RetryBudget> budgetFactory;
+    /** What is held against requests. */
+    private final CrashBook crashes = new CrashBook();
+
+    /** Limits retries. */
+    private final RetryBudgets budgets;
 
     /** The requests that are being served. */
     private final Set<Exchange> exchanges = new HashSet<>();
@@ -70,9 +72,6 @@
     /** The zones that were out of reach at the last step. */
     private Set<String> unreachableBefore = Set.of();
 
-    /** The retry budgets by service. */
-    private final Map<String, RetryBudget> budgets = new HashMap<>();
-
     /**
      * Creates a new context.
      *
@@ -81,7 +80,7 @@
      * @param dialect Translates headers.
      * @param metrics Counts what happens.
      * @param placement Bounds the choice of an endpoint.
-     * @param budgetFactory Makes the retry budget of a service.
+     * @param retries Divides the fleet's allowance of retries.
      */
     public GatewayContext(
             NioReactor reactor,
@@ -89,12 +88,12 @@
             RequestDialect dialect,
             GatewayMetrics metrics,
             PlacementSettings placement,
-            Supplier<RetryBudget> budgetFactory) {
+            RetryShare retries) {
         this.reactor = reactor;
         this.blackboard = blackboard;
         this.dialect = dialect;
         this.metrics = metrics;
-        this.budgetFactory = budgetFactory;
+        budgets = new RetryBudgets(retries);
         reach = new ZoneReach(placement.zone());
         pool = new EndpointPool(reactor, dialect, metrics.counter("endpoint_connections_total"));
         picker = new EndpointPicker(placement, loads, health, reach, holders);
@@ -179,6 +178,7 @@
      */
     public void step(long nowMillis) {
         loads.expire(nowMillis);
+        crashes.expire(nowMillis);
         pool.sweep();
         Set<String> unreachable = reach.unreachable(nowMillis);
         if (!unreachable.equals(unreachableBefore)) {
@@ -248,6 +248,15 @@
         return holders;
     }
 
+    /**
+     * Returns what is held against requests.
+     *
+     * @return What is held against requests.
+     */
+    public CrashBook crashes() {
+        return crashes;
+    }
+
     /**
      * Returns the chooser of endpoints.
      *
@@ -258,12 +267,11 @@
     }
 
     /**
-     * Returns the retry budget of a service.
+     * Returns the retry budgets.
      *
-     * @param service The name of the service.
-     * @return The retry budget.
+     * @return The retry budgets.
      */
-    RetryBudget budget(String service) {
-        return budgets.computeIfAbsent(service, ignored -> budgetFactory.get());
+    public RetryBudgets budgets() {
+        return budgets;
     }
 }
--- a/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/exchange/RequestHandler.java
+++ b/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/exchange/RequestHandler.java
@@ -16,7 +16,6 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.Set;
-import java.util.concurrent.ThreadLocalRandom;
 
 /**
  * Admits requests: finds the route and the workspace, and starts an exchange. A process that has
@@ -103,15 +102,12 @@
     private void refuse(GatewayRequest request, Caller caller, RefusalReason reason) {
         long remainingMillis = request.deadlineMillis().orElse(ASSUMED_DEADLINE_MILLIS);
         long retryAfterMillis =
-                reason.retryAfterMillis(remainingMillis, ThreadLocalRandom.current().nextDouble());
-        context.metrics().counter("refusals_total", reason.text()).inc();
+                Refusals.send(context, new AnswerRelay(caller), reason, remainingMillis);
         LOGGER.atInfo()
                 .with(LogFields.REQUEST, request.id())
                 .with(LogFields.REASON, reason.text())
                 .with(LogFields.RETRY_AFTER_MILLIS, retryAfterMillis)
                 .log("request_refused");
-        new AnswerRelay(caller)
-                .own(HttpResponseStatus.SERVICE_UNAVAILABLE, reason.text(), retryAfterMillis);
     }
 
     /**
@@ -208,6 +204,11 @@
                 reject(request.id(), caller, HttpResponseStatus.UNAUTHORIZED, "key is unknown");
                 return;
             }
+            CrashFence fence = new CrashFence(context.crashes(), workspace, head, body);
+            if (fence.isClosed(context.nowMillis())) {
+                refuse(request, caller, RefusalReason.QUARANTINED);
+                return;
+            }
             Exchange begun =
                     new Exchange(
                             context,
@@ -215,6 +216,7 @@
                             route.get(),
                             workspace,
                             new RequestWriter(context.dialect(), head, body),
+                            fence,
                             caller,
                             arrivedMillis);
             exchange = Optional.of(begun);
--- a/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/exchange/RequestReport.java
+++ b/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/exchange/RequestReport.java
@@ -6,7 +6,6 @@
 import io.chicorytrestle.core.placement.Prompt;
 import io.chicorytrestle.core.placement.PromptPart;
 import io.chicorytrestle.core.placement.ServingEndpoint;
-import io.chicorytrestle.core.verdict.Verdict;
 import io.chicorytrestle.gateway.dialect.GatewayRequest;
 import io.chicorytrestle.gateway.operations.LogFields;
 import io.netty.handler.codec.http.HttpResponseStatus;
@@ -85,18 +84,16 @@
      *
      * @param endpoint The endpoint.
      * @param cause What happened.
-     * @param verdict Whether the request may have been executed.
-     * @param sends The endpoints to which the request was sent.
+     * @param progress Counts attempts.
      * @param next What follows.
      */
-    void attemptFailed(
-            ServingEndpoint endpoint, String cause, Verdict verdict, int sends, NextStep next) {
+    void attemptFailed(ServingEndpoint endpoint, String cause, Progress progress, NextStep next) {
         LOGGER.atInfo()
                 .with(LogFields.REQUEST, request.id())
                 .with(LogFields.ENDPOINT, endpoint.incarnation())
                 .with(LogFields.REASON, cause)
-                .with(LogFields.VERDICT, verdict.name())
-                .with(LogFields.SENDS, sends)
+                .with(LogFields.VERDICT, progress.verdict().name())
+                .with(LogFields.SENDS, progress.sends())
                 .with(LogFields.ELAPSED_MILLIS, elapsedMillis())
                 .with(LogFields.OUTCOME, next.text())
                 .log("attempt_failed");
@@ -108,10 +105,9 @@
      *
      * @param status The status that the caller received, if any.
      * @param outcome What happened.
-     * @param verdict Whether the request may have been executed.
-     * @param sends The endpoints to which the request was sent.
+     * @param progress Counts attempts.
      */
-    void ended(HttpResponseStatus status, String outcome, Verdict verdict, int sends) {
+    void ended(HttpResponseStatus status, String outcome, Progress progress) {
         context.metrics().histogram("request_ms").update(elapsedMillis());
         context.metrics().counter("requests_total", status.codeAsText().toString()).inc();
         LOGGER.atInfo()
@@ -119,8 +115,8 @@
                 .with(LogFields.ROUTE, route)
                 .with(LogFields.STATUS, status.code())
                 .with(LogFields.OUTCOME, outcome)
-                .with(LogFields.VERDICT, verdict.name())
-                .with(LogFields.SENDS, sends)
+                .with(LogFields.VERDICT, progress.verdict().name())
+                .with(LogFields.SENDS, progress.sends())
                 .with(LogFields.ELAPSED_MILLIS, elapsedMillis())
                 .log("request_ended");
     }
--- a/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/fleet/Beat.java
+++ b/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/fleet/Beat.java
@@ -1,6 +1,7 @@
 package io.chicorytrestle.gateway.fleet;
 
 import io.chicorytrestle.core.fleet.StoreContact;
+import io.chicorytrestle.core.poison.CrashNotice;
 import java.util.List;
 import java.util.Map;
 
@@ -15,6 +16,7 @@
  * @param contact How the sender learns of endpoints.
  * @param counts The sender's requests in flight by incarnation of the endpoint.
  * @param leaving The incarnations of endpoints that take no more requests.
+ * @param crashes Requests under which endpoints crashed lately.
  * @param peers Some instances that the sender knows.
  */
 public record Beat(
@@ -26,6 +28,7 @@
         StoreContact contact,
         Map<String, Integer> counts,
         List<String> leaving,
+        List<CrashNotice> crashes,
         List<PeerAddress> peers)
         implements FleetMessage {
 
@@ -33,6 +36,7 @@
     public Beat {
         counts = Map.copyOf(counts);
         leaving = List.copyOf(leaving);
+        crashes = List.copyOf(crashes);
         peers = List.copyOf(peers);
     }
 }
--- a/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/fleet/FleetChannel.java
+++ b/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/fleet/FleetChannel.java
@@ -9,6 +9,7 @@
 import io.chicorytrestle.core.fleet.StoreContact;
 import io.chicorytrestle.core.placement.LoadBook;
 import io.chicorytrestle.core.placement.ZoneReach;
+import io.chicorytrestle.core.poison.CrashBook;
 import io.chicorytrestle.core.route.RoutingTable;
 import io.chicorytrestle.gateway.link.Addresses;
 import io.chicorytrestle.gateway.operations.LogFields;
@@ -61,6 +62,9 @@
     /** Takes the peers' requests in flight. */
     private final LoadBook loads;
 
+    /** What is held against requests. */
+    private final CrashBook crashes;
+
     /** Judges zones. */
     private final ZoneReach reach;
 
@@ -105,6 +109,7 @@
      * @param seeds The addresses at which the first instances may be met.
      * @param knowledge What this instance believes.
      * @param loads Takes the peers' requests in flight.
+     * @param crashes What is held against requests.
      * @param reach Judges zones by the instances that are heard.
      * @param codec Reads routing tables as they were published.
      */
@@ -114,12 +119,14 @@
             List<String> seeds,
             FleetKnowledge knowledge,
             LoadBook loads,
+            CrashBook crashes,
             ZoneReach reach,
             TableCodec codec) {
         this.reactor = reactor;
         this.self = self;
         this.knowledge = knowledge;
         this.loads = loads;
+        this.crashes = crashes;
         this.reach = reach;
         this.codec = codec;
         Random random = new Random();
@@ -215,6 +222,7 @@
                                 contact,
                                 loads.own(),
                                 knowledge.leaving(),
+                                crashes.news(nowMillis),
                                 members.sample(nowMillis)));
         for (String address : members.targets(contact, nowMillis)) {
             send(address, message, nowMillis);
@@ -311,6 +319,7 @@
         }
         reach.heard(beat.sender().zone(), nowMillis);
         loads.peer(beat.sender().name(), beat.counts(), nowMillis);
+        beat.crashes().forEach(crash -> crashes.told(crash, nowMillis));
         for (String leaving : beat.leaving()) {
             knowledge.leaving(leaving, beat.sender().name(), nowMillis);
         }
--- a/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/fleet/FleetCodec.java
+++ b/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/fleet/FleetCodec.java
@@ -2,6 +2,7 @@
 
 import io.chicorytrestle.core.fleet.StoreContact;
 import io.chicorytrestle.core.placement.ServingEndpoint;
+import io.chicorytrestle.core.poison.CrashNotice;
 import java.io.IOException;
 import java.nio.ByteBuffer;
 import java.util.ArrayList;
@@ -99,9 +100,11 @@
             packer.packString(count.getKey());
             packer.packInt(count.getValue());
         }
-        packer.packArrayHeader(beat.leaving().size());
-        for (String incarnation : beat.leaving()) {
-            packer.packString(incarnation);
+        packTexts(packer, beat.leaving());
+        packer.packArrayHeader(beat.crashes().size());
+        for (CrashNotice crash : beat.crashes()) {
+            packer.packString(crash.fingerprint());
+            packTexts(packer, crash.incarnations());
         }
         packer.packArrayHeader(beat.peers().size());
         for (PeerAddress peer : beat.peers()) {
@@ -127,9 +130,10 @@
         for (int left = unpacker.unpackMapHeader(); left > 0; left--) {
             counts.put(unpacker.unpackString(), unpacker.unpackInt());
         }
-        List<String> leaving = new ArrayList<>();
+        List<String> leaving = unpackTexts(unpacker);
+        List<CrashNotice> crashes = new ArrayList<>();
         for (int left = unpacker.unpackArrayHeader(); left > 0; left--) {
-            leaving.add(unpacker.unpackString());
+            crashes.add(new CrashNotice(unpacker.unpackString(), unpackTexts(unpacker)));
         }
         List<PeerAddress> peers = new ArrayList<>();
         for (int left = unpacker.unpackArrayHeader(); left > 0; left--) {
@@ -144,9 +148,40 @@
                 contact,
                 counts,
                 leaving,
+                crashes,
                 peers);
     }
 
+    /**
+     * Writes texts.
+     *
+     * @param packer Takes the texts.
+     * @param texts The texts.
+     * @throws IOException Never, since the output is memory.
+     */
+    private static void packTexts(MessageBufferPacker packer, List<String> texts)
+            throws IOException {
+        packer.packArrayHeader(texts.size());
+        for (String text : texts) {
+            packer.packString(text);
+        }
+    }
+
+    /**
+     * Reads texts.
+     *
+     * @param unpacker Gives the texts.
+     * @return The texts.
+     * @throws IOException If the message is malformed.
+     */
+    private static List<String> unpackTexts(MessageUnpacker unpacker) throws IOException {
+        List<String> texts = new ArrayList<>();
+        for (int left = unpacker.unpackArrayHeader(); left > 0; left--) {
+            texts.add(unpacker.unpackString());
+        }
+        return texts;
+    }
+
     /**
      * Writes an address.
      *
@@ -218,10 +253,7 @@
         packer.packLong(changes.before());
         packer.packLong(changes.revision());
         pack(packer, changes.changed());
-        packer.packArrayHeader(changes.removed().size());
-        for (String id : changes.removed()) {
-            packer.packString(id);
-        }
+        packTexts(packer, changes.removed());
     }
 
     /**
@@ -236,10 +268,7 @@
         long before = unpacker.unpackLong();
         long revision = unpacker.unpackLong();
         List<ServingEndpoint> changed = unpackEndpoints(unpacker);
-        List<String> removed = new ArrayList<>();
-        for (int left = unpacker.unpackArrayHeader(); left > 0; left--) {
-            removed.add(unpacker.unpackString());
-        }
+        List<String> removed = unpackTexts(unpacker);
         return new EndpointChanges(sender, before, revision, changed, removed);
     }
 
--- a/chicorytrestle-gateway/src/test/java/io/chicorytrestle/gateway/fleet/FleetCodecTest.java
+++ b/chicorytrestle-gateway/src/test/java/io/chicorytrestle/gateway/fleet/FleetCodecTest.java
@@ -6,6 +6,7 @@
 
 import io.chicorytrestle.core.fleet.StoreContact;
 import io.chicorytrestle.core.placement.ServingEndpoint;
+import io.chicorytrestle.core.poison.CrashNotice;
 import java.io.IOException;
 import java.nio.ByteBuffer;
 import java.util.List;
@@ -32,6 +33,9 @@
                         StoreContact.READING,
                         Map.of("e@1", 3),
                         List.of("f@2"),
+                        List.of(
+                                new CrashNotice("ab12", List.of("e@1")),
+                                new CrashNotice("cd34", List.of())),
                         List.of(new PeerAddress("b", "10.0.0.3:9", "y")));
 
         assertThat(FleetCodec.decode(FleetCodec.encode(beat)), equalTo(beat));
--- a/chicorytrestle-gateway/src/test/java/io/chicorytrestle/gateway/fleet/FleetMembersTest.java
+++ b/chicorytrestle-gateway/src/test/java/io/chicorytrestle/gateway/fleet/FleetMembersTest.java
@@ -123,6 +123,7 @@
                 StoreContact.READING,
                 Map.of(),
                 List.of(),
+                List.of(),
                 peers);
     }
 }
