--- a/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/front/CallerConnection.java
+++ b/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/front/CallerConnection.java
@@ -52,6 +52,9 @@
     /** Ends the wait for the next request or the rest of one, or null while one is answered. */
     private @Nullable ScheduledRunnable timer;
 
+    /** Whether part of a request's head may have arrived. */
+    private boolean isReceivingHead;
+
     /** Whether a request is being answered. */
     private boolean isAnswering;
 
@@ -79,7 +82,7 @@
 
     /** Starts to read. */
     void start() {
-        awaitRequest();
+        await(limits.idleTimeoutMillis());
         link.read();
     }
 
@@ -89,7 +92,7 @@
      * @return {@code true} if the connection can be closed without a loss.
      */
     boolean isIdle() {
-        return !isAnswering && head == null && !link.hasWaiting();
+        return !isAnswering && !isReceivingHead && head == null && !link.hasWaiting();
     }
 
     /** Closes the connection. */
@@ -101,6 +104,14 @@
         body = new ByteArrayOutputStream(0);
     }
 
+    @Override
+    public void receiving() {
+        if (!isAnswering && !isReceivingHead && head == null) {
+            isReceivingHead = true;
+            await(limits.headerTimeoutMillis());
+        }
+    }
+
     @Override
     public void received(HttpObject message) {
         if (message.decoderResult().isFailure()) {
@@ -147,7 +158,8 @@
             link.write(OwnAnswers.proceed());
         }
         head = request;
-        awaitRequest();
+        isReceivingHead = false;
+        await(limits.idleTimeoutMillis());
         return true;
     }
 
@@ -227,7 +239,7 @@
         } else if (isLast || isEnded) {
             link.whenDrained(this::close);
         } else {
-            awaitRequest();
+            await(limits.idleTimeoutMillis());
             link.release();
         }
     }
@@ -291,16 +303,20 @@
         link.whenDrained(this::close);
     }
 
-    /** Waits for the next request for as long as the bounds allow. */
-    private void awaitRequest() {
+    /**
+     * Waits for the next request or the rest of one.
+     *
+     * @param millis The longest time in milliseconds.
+     */
+    private void await(long millis) {
         stopTimer();
-        timer = front.delay(limits.idleTimeoutMillis(), this::expire);
+        timer = front.delay(millis, this::expire);
     }
 
     /** Ends the wait for a request. */
     private void expire() {
         timer = null;
-        if (head == null) {
+        if (head == null && !isReceivingHead) {
             close();
         } else {
             refuse(HttpResponseStatus.REQUEST_TIMEOUT, "request did not arrive in time");
--- a/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/link/HttpLink.java
+++ b/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/link/HttpLink.java
@@ -123,6 +123,7 @@
             }
             return;
         }
+        listener.receiving();
         codec.writeInbound(Unpooled.wrappedBuffer(buffer.asArray()));
         deliver();
         if (codec.inboundMessages().size() < MAXIMUM_WAITING_MESSAGES) {
@@ -290,6 +291,9 @@
     /** Takes what happens to a link. */
     public interface Listener {
 
+        /** Takes note of bytes, before the messages that they complete. */
+        default void receiving() {}
+
         /**
          * Takes a message or part of one.
          *
