Judge endpoints by the outcomes at all instances of the zone

One instance sends each endpoint a request in five seconds, so it noticed late; and the threshold of twice the mean plus a quarter could not be reached when most endpoints fail. A judgement never faded either.

Change: OutcomeBook sums outcomes of the zone's instances, told in beats, and lets them fade; an endpoint is avoided if it fails a fifth more than the best. Silence until the request is given up or its time is over counts as a failure. EndpointHealth keeps connections only.

Ruled out: sums over all zones, since an endpoint may fail one zone's callers only.

--- a/chicorytrestle-core/src/main/java/io/chicorytrestle/core/placement/EndpointHealth.java
+++ b/chicorytrestle-core/src/main/java/io/chicorytrestle/core/placement/EndpointHealth.java
@@ -4,9 +4,8 @@
 import java.util.Map;
 
 /**
- * Judges endpoints by what happened to own requests. An endpoint that breaks connections is avoided
- * for a time that doubles with each failure in a row; one that fails more of its requests than the
- * others is avoided in favour of them. It is confined to one thread.
+ * Judges endpoints by their connections to this instance. An endpoint that breaks connections is
+ * avoided for a time that doubles with each failure in a row. It is confined to one thread.
  */
 public final class EndpointHealth {
 
@@ -19,8 +18,8 @@
     /** The most doublings, so that the shift does not overflow. */
     private static final int MAXIMUM_DOUBLINGS = 10;
 
-    /** The weight of the newest outcome in the mean failure rate. */
-    private static final double NEWEST_WEIGHT = 0.15;
+    /** The time in milliseconds after which a failure no longer counts as one in a row. */
+    private static final long MEMORY_MILLIS = 60_000;
 
     /** The state by incarnation. */
     private final Map<String, State> states = new HashMap<>();
@@ -29,37 +28,24 @@
      * Takes note of an answer.
      *
      * @param incarnation The incarnation of the endpoint.
-     * @param success Whether the endpoint did what was asked.
      */
-    public void answered(String incarnation, boolean success) {
-        State state = state(incarnation);
-        states.put(
-                incarnation,
-                new State(
-                        0,
-                        0,
-                        state.failureRate()
-                                + NEWEST_WEIGHT * ((success ? 0 : 1) - state.failureRate())));
+    public void answered(String incarnation) {
+        states.remove(incarnation);
     }
 
     /**
-     * Takes note of a connection that could not be made, broke, or stayed silent.
+     * Takes note of a connection that could not be made or broke.
      *
      * @param incarnation The incarnation of the endpoint.
      * @param nowMillis The present time in milliseconds.
      */
     public void broke(String incarnation, long nowMillis) {
-        State state = state(incarnation);
+        int failures = states.getOrDefault(incarnation, State.SOUND).failures();
         long avoidance =
                 Math.min(
                         LONGEST_AVOIDANCE_MILLIS,
-                        FIRST_AVOIDANCE_MILLIS << Math.min(MAXIMUM_DOUBLINGS, state.failures()));
-        states.put(
-                incarnation,
-                new State(
-                        state.failures() + 1,
-                        nowMillis + avoidance,
-                        state.failureRate() + NEWEST_WEIGHT * (1 - state.failureRate())));
+                        FIRST_AVOIDANCE_MILLIS << Math.min(MAXIMUM_DOUBLINGS, failures));
+        states.put(incarnation, new State(failures + 1, nowMillis + avoidance));
     }
 
     /**
@@ -70,27 +56,16 @@
      * @return {@code true} if the endpoint should be avoided.
      */
     public boolean isBroken(String incarnation, long nowMillis) {
-        return nowMillis < state(incarnation).avoidUntilMillis();
+        return nowMillis < states.getOrDefault(incarnation, State.SOUND).avoidUntilMillis();
     }
 
     /**
-     * Returns the share of the latest requests that failed.
+     * Forgets what is old.
      *
-     * @param incarnation The incarnation of the endpoint.
-     * @return The share, from zero to one.
-     */
-    public double failureRate(String incarnation) {
-        return state(incarnation).failureRate();
-    }
-
-    /**
-     * Returns the state of an endpoint.
-     *
-     * @param incarnation The incarnation of the endpoint.
-     * @return The state.
+     * @param nowMillis The present time in milliseconds.
      */
-    private State state(String incarnation) {
-        return states.getOrDefault(incarnation, State.SOUND);
+    public void expire(long nowMillis) {
+        states.values().removeIf(state -> nowMillis - state.avoidUntilMillis() > MEMORY_MILLIS);
     }
 
     /**
@@ -98,11 +73,10 @@
      *
      * @param failures The failures in a row.
      * @param avoidUntilMillis The time until which the endpoint is avoided, in milliseconds.
-     * @param failureRate The share of the latest requests that failed.
      */
-    private record State(int failures, long avoidUntilMillis, double failureRate) {
+    private record State(int failures, long avoidUntilMillis) {
 
         /** An endpoint that never failed. */
-        private static final State SOUND = new State(0, 0, 0);
+        private static final State SOUND = new State(0, Long.MIN_VALUE / 2);
     }
 }
--- a/chicorytrestle-core/src/main/java/io/chicorytrestle/core/placement/EndpointPicker.java
+++ b/chicorytrestle-core/src/main/java/io/chicorytrestle/core/placement/EndpointPicker.java
@@ -14,11 +14,11 @@
  */
 public final class EndpointPicker {
 
-    /** The failure rate beyond which an endpoint is avoided if others fail less. */
-    private static final double FAILURE_RATE_SLACK = 0.25;
-
-    /** The factor by which a failure rate must exceed the mean for an endpoint to be avoided. */
-    private static final double FAILURE_RATE_MULTIPLE = 2;
+    /**
+     * The failure rate beyond that of the best endpoint at which an endpoint is avoided: a failed
+     * request costs its caller more than a prompt that is read once more elsewhere.
+     */
+    private static final double FAILURE_RATE_SLACK = 0.2;
 
     /** The load of another zone's endpoint that a local one may exceed, as a share of its slots. */
     private static final double ZONE_PREFERENCE = 0.34;
@@ -29,9 +29,12 @@
     /** Estimates the load. */
     private final LoadBook loads;
 
-    /** Judges endpoints. */
+    /** Judges endpoints by their connections. */
     private final EndpointHealth health;
 
+    /** Judges endpoints by their answers. */
+    private final OutcomeBook outcomes;
+
     /** Judges zones. */
     private final ZoneReach reach;
 
@@ -43,7 +46,8 @@
      *
      * @param settings The bounds.
      * @param loads Estimates the load.
-     * @param health Judges endpoints.
+     * @param health Judges endpoints by their connections.
+     * @param outcomes Judges endpoints by their answers.
      * @param reach Judges zones.
      * @param holders Remembers who holds prompt parts.
      */
@@ -51,11 +55,13 @@
             PlacementSettings settings,
             LoadBook loads,
             EndpointHealth health,
+            OutcomeBook outcomes,
             ZoneReach reach,
             HolderBook holders) {
         this.settings = settings;
         this.loads = loads;
         this.health = health;
+        this.outcomes = outcomes;
         this.reach = reach;
         source = new FetchSource(holders, settings.zone());
     }
@@ -182,19 +188,30 @@
      */
     private List<ServingEndpoint> sound(List<ServingEndpoint> endpoints, long nowMillis) {
         Set<String> unreachable = reach.unreachable(nowMillis);
-        double mean =
-                endpoints.stream()
-                        .mapToDouble(endpoint -> health.failureRate(endpoint.incarnation()))
-                        .average()
-                        .orElse(0);
-        double worst = FAILURE_RATE_MULTIPLE * mean + FAILURE_RATE_SLACK;
         List<ServingEndpoint> reached =
                 unlessEmpty(endpoints, endpoint -> !unreachable.contains(endpoint.zone()));
         List<ServingEndpoint> connected =
                 unlessEmpty(
                         reached, endpoint -> !health.isBroken(endpoint.incarnation(), nowMillis));
+        double best =
+                connected.stream()
+                        .mapToDouble(endpoint -> failureRate(endpoint, nowMillis))
+                        .min()
+                        .orElse(0);
         return unlessEmpty(
-                connected, endpoint -> health.failureRate(endpoint.incarnation()) <= worst);
+                connected,
+                endpoint -> failureRate(endpoint, nowMillis) <= best + FAILURE_RATE_SLACK);
+    }
+
+    /**
+     * Estimates the share of requests that an endpoint fails.
+     *
+     * @param endpoint The endpoint.
+     * @param nowMillis The present time in milliseconds.
+     * @return The share, from zero to one.
+     */
+    private double failureRate(ServingEndpoint endpoint, long nowMillis) {
+        return outcomes.failureRate(endpoint.incarnation(), nowMillis);
     }
 
     /**
--- a/chicorytrestle-core/src/test/java/io/chicorytrestle/core/placement/EndpointHealthTest.java
+++ b/chicorytrestle-core/src/test/java/io/chicorytrestle/core/placement/EndpointHealthTest.java
@@ -1,7 +1,6 @@
 package io.chicorytrestle.core.placement;
 
 import static org.hamcrest.MatcherAssert.assertThat;
-import static org.hamcrest.Matchers.greaterThan;
 import static org.hamcrest.Matchers.is;
 
 import org.junit.jupiter.api.Test;
@@ -22,17 +21,8 @@
     @Test
     void testIsBrokenWhenEndpointAnsweredSince() {
         health.broke("e", 0);
-        health.answered("e", true);
+        health.answered("e");
 
         assertThat(health.isBroken("e", 1), is(false));
     }
-
-    @Test
-    void testFailureRateWhenRequestsFail() {
-        for (int answers = 0; answers < 10; answers++) {
-            health.answered("e", false);
-        }
-
-        assertThat(health.failureRate("e"), greaterThan(0.7));
-    }
 }
--- a/chicorytrestle-core/src/test/java/io/chicorytrestle/core/placement/EndpointPickerTest.java
+++ b/chicorytrestle-core/src/test/java/io/chicorytrestle/core/placement/EndpointPickerTest.java
@@ -25,11 +25,18 @@
 
     private final EndpointHealth health = new EndpointHealth();
 
+    private final OutcomeBook outcomes = new OutcomeBook();
+
     private final ZoneReach reach = new ZoneReach("a");
 
     private final EndpointPicker picker =
             new EndpointPicker(
-                    new PlacementSettings("a", 1.6, 2), loads, health, reach, new HolderBook());
+                    new PlacementSettings("a", 1.6, 2),
+                    loads,
+                    health,
+                    outcomes,
+                    reach,
+                    new HolderBook());
 
     @Test
     void testPickWhenTwoInstancesSeeTheSamePrompt() {
@@ -38,6 +45,7 @@
                         new PlacementSettings("c", 1.6, 2),
                         new LoadBook(),
                         new EndpointHealth(),
+                        new OutcomeBook(),
                         new ZoneReach("c"),
                         new HolderBook());
 
@@ -168,9 +176,9 @@
     @Test
     void testPickWhenOneEndpointFailsMostRequests() {
         for (int answers = 0; answers < 20; answers++) {
-            health.answered(FIRST.incarnation(), false);
-            health.answered(SECOND.incarnation(), true);
-            health.answered(THIRD.incarnation(), true);
+            outcomes.ended(FIRST.incarnation(), false, 0);
+            outcomes.ended(SECOND.incarnation(), true, 0);
+            outcomes.ended(THIRD.incarnation(), true, 0);
         }
 
         assertThat(
@@ -180,6 +188,21 @@
                 is(not(FIRST)));
     }
 
+    /** Plays two of three endpoints that fail two in five requests for some seconds. */
+    @Test
+    void testPickWhenMostEndpointsFailPartOfTheirRequests() {
+        for (int answers = 0; answers < 10; answers++) {
+            boolean isSuccess = answers % 5 >= 2;
+            outcomes.ended(FIRST.incarnation(), isSuccess, 0);
+            outcomes.ended(SECOND.incarnation(), isSuccess, 0);
+            outcomes.ended(THIRD.incarnation(), true, 0);
+        }
+
+        for (int chat = 0; chat < 10; chat++) {
+            assertThat(pick(VIEW, "chat-" + chat).endpoint(), equalTo(THIRD));
+        }
+    }
+
     @Test
     void testPickWhenAllEndpointsWereTried() {
         Set<String> tried = Set.of(FIRST.incarnation(), SECOND.incarnation(), THIRD.incarnation());
--- a/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/Gateway.java
+++ b/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/Gateway.java
@@ -169,9 +169,7 @@
                                 settings.instanceName(), settings.peerAddress(), settings.zone()),
                         settings.seeds(),
                         knowledge,
-                        context.loads(),
-                        context.crashes(),
-                        context.reach(),
+                        context.observations(),
                         codec);
         controllers.add(knowledge);
         controllers.add(context::step);
--- a/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/exchange/Attempt.java
+++ b/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/exchange/Attempt.java
@@ -146,6 +146,14 @@
         acquired.send(request.get(), id, this);
     }
 
+    /** Gives up the attempt, since the endpoint should have answered by now. */
+    void cancelSilent() {
+        if (!isOver && isSent && head == null) {
+            context.outcomes().ended(endpoint().incarnation(), false, context.nowMillis());
+        }
+        cancel();
+    }
+
     /** Gives up the attempt, so that the endpoint stops work. */
     void cancel() {
         if (!isOver) {
@@ -255,7 +263,8 @@
         String incarnation = endpoint().incarnation();
         boolean isServerError = answer.status().codeClass() == HttpStatusClass.SERVER_ERROR;
         if (treatment != Treatment.REFUSED) {
-            context.health().answered(incarnation, !isServerError);
+            context.health().answered(incarnation);
+            context.outcomes().ended(incarnation, !isServerError, context.nowMillis());
         }
         switch (treatment) {
             case REFUSED -> exchange.failed(this, Verdict.NOT_RUN, "endpoint did not run it");
@@ -287,6 +296,7 @@
     private void endBroken() {
         end();
         context.health().broke(endpoint().incarnation(), context.nowMillis());
+        context.outcomes().ended(endpoint().incarnation(), false, context.nowMillis());
     }
 
     /** Enumerates how an answer is treated. */
--- a/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/exchange/Exchange.java
+++ b/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/exchange/Exchange.java
@@ -171,7 +171,7 @@
                             Patience.millis(route.latencyTargetMillis(), remainingMillis()),
                             () -> {
                                 if (attempt == begun && !begun.isStarted()) {
-                                    giveUp(begun, "endpoint is silent");
+                                    giveUp(begun, begun::cancelSilent, "endpoint is silent");
                                 }
                             });
         }
@@ -331,7 +331,7 @@
             if (running.isSent()) {
                 progress.note(Verdict.MAY_HAVE_RUN);
             }
-            running.cancel();
+            running.cancelSilent();
         }
         if (relay.isStarted()) {
             cut("deadline passed");
@@ -381,7 +381,10 @@
     void leaveZones(Set<String> zones) {
         Attempt running = attempt;
         if (running != null && zones.contains(running.endpoint().zone())) {
-            giveUp(running, "zone " + running.endpoint().zone() + " is out of reach");
+            giveUp(
+                    running,
+                    running::cancel,
+                    "zone " + running.endpoint().zone() + " is out of reach");
         }
     }
 
@@ -389,14 +392,15 @@
      * Gives up an attempt if the request can be sent once more.
      *
      * @param running The attempt.
+     * @param cancellation Stops the attempt.
      * @param cause Why.
      */
-    private void giveUp(Attempt running, String cause) {
+    private void giveUp(Attempt running, Runnable cancellation, String cause) {
         Verdict worst = running.isSent() ? Verdict.MAY_HAVE_RUN : Verdict.NOT_RUN;
         boolean isGivenUp =
                 progress.canGiveUp(worst, running.isSent(), relay.isStarted(), remainingMillis());
         if (isGivenUp) {
-            running.cancel();
+            cancellation.run();
             failed(running, worst, cause);
         }
     }
--- a/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/exchange/GatewayContext.java
+++ b/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/exchange/GatewayContext.java
@@ -9,6 +9,7 @@
 import io.chicorytrestle.core.placement.EndpointPicker;
 import io.chicorytrestle.core.placement.HolderBook;
 import io.chicorytrestle.core.placement.LoadBook;
+import io.chicorytrestle.core.placement.OutcomeBook;
 import io.chicorytrestle.core.placement.PlacementSettings;
 import io.chicorytrestle.core.placement.PlacementTopics;
 import io.chicorytrestle.core.placement.ServingView;
@@ -18,6 +19,7 @@
 import io.chicorytrestle.core.route.RoutingTable;
 import io.chicorytrestle.gateway.dialect.RequestDialect;
 import io.chicorytrestle.gateway.endpoint.EndpointPool;
+import io.chicorytrestle.gateway.fleet.Observations;
 import io.chicorytrestle.gateway.operations.GatewayMetrics;
 import io.chicorytrestle.gateway.operations.LogFields;
 import java.util.HashSet;
@@ -48,9 +50,12 @@
     /** Estimates load. */
     private final LoadBook loads = new LoadBook();
 
-    /** Judges endpoints. */
+    /** Judges endpoints by their connections. */
     private final EndpointHealth health = new EndpointHealth();
 
+    /** Judges endpoints by their answers. */
+    private final OutcomeBook outcomes = new OutcomeBook();
+
     /** Judges zones. */
     private final ZoneReach reach;
 
@@ -96,7 +101,7 @@
         budgets = new RetryBudgets(retries);
         reach = new ZoneReach(placement.zone());
         pool = new EndpointPool(reactor, dialect, metrics.counter("endpoint_connections_total"));
-        picker = new EndpointPicker(placement, loads, health, reach, holders);
+        picker = new EndpointPicker(placement, loads, health, outcomes, reach, holders);
     }
 
     /**
@@ -149,7 +154,7 @@
      *
      * @return The judgement of zones.
      */
-    public ZoneReach reach() {
+    ZoneReach reach() {
         return reach;
     }
 
@@ -178,6 +183,8 @@
      */
     public void step(long nowMillis) {
         loads.expire(nowMillis);
+        health.expire(nowMillis);
+        outcomes.expire(nowMillis);
         crashes.expire(nowMillis);
         pool.sweep();
         Set<String> unreachable = reach.unreachable(nowMillis);
@@ -226,34 +233,52 @@
      *
      * @return The estimates of load.
      */
-    public LoadBook loads() {
+    LoadBook loads() {
         return loads;
     }
 
     /**
-     * Returns the judgement of endpoints.
+     * Returns the judgement of endpoints by their connections.
      *
-     * @return The judgement of endpoints.
+     * @return The judgement of endpoints by their connections.
      */
-    public EndpointHealth health() {
+    EndpointHealth health() {
         return health;
     }
 
+    /**
+     * Returns the judgement of endpoints by their answers.
+     *
+     * @return The judgement of endpoints by their answers.
+     */
+    OutcomeBook outcomes() {
+        return outcomes;
+    }
+
     /**
      * Returns the memory of who holds prompt parts.
      *
      * @return The memory of who holds prompt parts.
      */
-    public HolderBook holders() {
+    HolderBook holders() {
         return holders;
     }
 
+    /**
+     * Returns what instances tell each other.
+     *
+     * @return What instances tell each other.
+     */
+    public Observations observations() {
+        return new Observations(loads, outcomes, crashes, reach);
+    }
+
     /**
      * Returns what is held against requests.
      *
      * @return What is held against requests.
      */
-    public CrashBook crashes() {
+    CrashBook crashes() {
         return crashes;
     }
 
--- a/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/fleet/Beat.java
+++ b/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/fleet/Beat.java
@@ -1,6 +1,7 @@
 package io.chicorytrestle.gateway.fleet;
 
 import io.chicorytrestle.core.fleet.StoreContact;
+import io.chicorytrestle.core.placement.Outcomes;
 import io.chicorytrestle.core.poison.CrashNotice;
 import java.util.List;
 import java.util.Map;
@@ -15,6 +16,7 @@
  * @param isEnding Whether the sender takes no more work.
  * @param contact How the sender learns of endpoints.
  * @param counts The sender's requests in flight by incarnation of the endpoint.
+ * @param outcomes How the sender's latest requests ended by incarnation of the endpoint.
  * @param leaving The incarnations of endpoints that take no more requests.
  * @param crashes Requests under which endpoints crashed lately.
  * @param peers Some instances that the sender knows.
@@ -27,6 +29,7 @@
         boolean isEnding,
         StoreContact contact,
         Map<String, Integer> counts,
+        Map<String, Outcomes> outcomes,
         List<String> leaving,
         List<CrashNotice> crashes,
         List<PeerAddress> peers)
@@ -35,6 +38,7 @@
     /** Copies the collections. */
     public Beat {
         counts = Map.copyOf(counts);
+        outcomes = Map.copyOf(outcomes);
         leaving = List.copyOf(leaving);
         crashes = List.copyOf(crashes);
         peers = List.copyOf(peers);
--- a/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/fleet/FleetChannel.java
+++ b/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/fleet/FleetChannel.java
@@ -7,9 +7,6 @@
 import io.activej.reactor.nio.NioReactor;
 import io.chicorytrestle.core.fleet.ReaderChoice;
 import io.chicorytrestle.core.fleet.StoreContact;
-import io.chicorytrestle.core.placement.LoadBook;
-import io.chicorytrestle.core.placement.ZoneReach;
-import io.chicorytrestle.core.poison.CrashBook;
 import io.chicorytrestle.core.route.RoutingTable;
 import io.chicorytrestle.gateway.link.Addresses;
 import io.chicorytrestle.gateway.operations.LogFields;
@@ -59,14 +56,8 @@
     /** What this instance believes. */
     private final FleetKnowledge knowledge;
 
-    /** Takes the peers' requests in flight. */
-    private final LoadBook loads;
-
-    /** What is held against requests. */
-    private final CrashBook crashes;
-
-    /** Judges zones. */
-    private final ZoneReach reach;
+    /** What instances tell each other. */
+    private final Observations observations;
 
     /** Reads routing tables as they were published. */
     private final TableCodec codec;
@@ -108,9 +99,7 @@
      * @param self Where this instance is met.
      * @param seeds The addresses at which the first instances may be met.
      * @param knowledge What this instance believes.
-     * @param loads Takes the peers' requests in flight.
-     * @param crashes What is held against requests.
-     * @param reach Judges zones by the instances that are heard.
+     * @param observations What instances tell each other.
      * @param codec Reads routing tables as they were published.
      */
     public FleetChannel(
@@ -118,16 +107,12 @@
             PeerAddress self,
             List<String> seeds,
             FleetKnowledge knowledge,
-            LoadBook loads,
-            CrashBook crashes,
-            ZoneReach reach,
+            Observations observations,
             TableCodec codec) {
         this.reactor = reactor;
         this.self = self;
         this.knowledge = knowledge;
-        this.loads = loads;
-        this.crashes = crashes;
-        this.reach = reach;
+        this.observations = observations;
         this.codec = codec;
         Random random = new Random();
         incarnation = random.nextLong();
@@ -210,7 +195,7 @@
      */
     public void beat(long nowMillis) {
         members.expire(nowMillis);
-        loads.expectPeers(members.size());
+        observations.loads().expectPeers(members.size());
         byte[] message =
                 FleetCodec.encode(
                         new Beat(
@@ -220,9 +205,10 @@
                                 knowledge.endpointRevision(),
                                 isEnding,
                                 contact,
-                                loads.own(),
+                                observations.loads().own(),
+                                observations.outcomes().own(nowMillis),
                                 knowledge.leaving(),
-                                crashes.news(nowMillis),
+                                observations.crashes().news(nowMillis),
                                 members.sample(nowMillis)));
         for (String address : members.targets(contact, nowMillis)) {
             send(address, message, nowMillis);
@@ -317,9 +303,12 @@
                     .with(LogFields.COUNT, members.size())
                     .log("peer_found");
         }
-        reach.heard(beat.sender().zone(), nowMillis);
-        loads.peer(beat.sender().name(), beat.counts(), nowMillis);
-        beat.crashes().forEach(crash -> crashes.told(crash, nowMillis));
+        observations.reach().heard(beat.sender().zone(), nowMillis);
+        observations.loads().peer(beat.sender().name(), beat.counts(), nowMillis);
+        if (beat.sender().zone().equals(self.zone())) {
+            observations.outcomes().peer(beat.sender().name(), beat.outcomes(), nowMillis);
+        }
+        beat.crashes().forEach(crash -> observations.crashes().told(crash, nowMillis));
         for (String leaving : beat.leaving()) {
             knowledge.leaving(leaving, beat.sender().name(), nowMillis);
         }
--- a/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/fleet/FleetCodec.java
+++ b/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/fleet/FleetCodec.java
@@ -1,6 +1,7 @@
 package io.chicorytrestle.gateway.fleet;
 
 import io.chicorytrestle.core.fleet.StoreContact;
+import io.chicorytrestle.core.placement.Outcomes;
 import io.chicorytrestle.core.placement.ServingEndpoint;
 import io.chicorytrestle.core.poison.CrashNotice;
 import java.io.IOException;
@@ -100,6 +101,12 @@
             packer.packString(count.getKey());
             packer.packInt(count.getValue());
         }
+        packer.packMapHeader(beat.outcomes().size());
+        for (Map.Entry<String, Outcomes> outcomes : beat.outcomes().entrySet()) {
+            packer.packString(outcomes.getKey());
+            packer.packFloat((float) outcomes.getValue().ended());
+            packer.packFloat((float) outcomes.getValue().failed());
+        }
         packTexts(packer, beat.leaving());
         packer.packArrayHeader(beat.crashes().size());
         for (CrashNotice crash : beat.crashes()) {
@@ -130,6 +137,12 @@
         for (int left = unpacker.unpackMapHeader(); left > 0; left--) {
             counts.put(unpacker.unpackString(), unpacker.unpackInt());
         }
+        Map<String, Outcomes> outcomes = new HashMap<>();
+        for (int left = unpacker.unpackMapHeader(); left > 0; left--) {
+            outcomes.put(
+                    unpacker.unpackString(),
+                    new Outcomes(unpacker.unpackFloat(), unpacker.unpackFloat()));
+        }
         List<String> leaving = unpackTexts(unpacker);
         List<CrashNotice> crashes = new ArrayList<>();
         for (int left = unpacker.unpackArrayHeader(); left > 0; left--) {
@@ -147,6 +160,7 @@
                 isEnding,
                 contact,
                 counts,
+                outcomes,
                 leaving,
                 crashes,
                 peers);
--- a/chicorytrestle-gateway/src/test/java/io/chicorytrestle/gateway/fleet/FleetCodecTest.java
+++ b/chicorytrestle-gateway/src/test/java/io/chicorytrestle/gateway/fleet/FleetCodecTest.java
@@ -5,6 +5,7 @@
 import static org.junit.jupiter.api.Assertions.assertThrows;
 
 import io.chicorytrestle.core.fleet.StoreContact;
+import io.chicorytrestle.core.placement.Outcomes;
 import io.chicorytrestle.core.placement.ServingEndpoint;
 import io.chicorytrestle.core.poison.CrashNotice;
 import java.io.IOException;
@@ -32,6 +33,7 @@
                         true,
                         StoreContact.READING,
                         Map.of("e@1", 3),
+                        Map.of("e@1", new Outcomes(2.5, 0.5)),
                         List.of("f@2"),
                         List.of(
                                 new CrashNotice("ab12", List.of("e@1")),
--- a/chicorytrestle-gateway/src/test/java/io/chicorytrestle/gateway/fleet/FleetMembersTest.java
+++ b/chicorytrestle-gateway/src/test/java/io/chicorytrestle/gateway/fleet/FleetMembersTest.java
@@ -122,6 +122,7 @@
                 isEnding,
                 StoreContact.READING,
                 Map.of(),
+                Map.of(),
                 List.of(),
                 List.of(),
                 peers);
