Let a zone's readers pass the routing table on in large fleets

Small zones read as before. A link counts as stuck after 800 ms of unwritten messages, so that a long table is not cut by the next beat.

Ruled out: a reader that sends to its whole zone (a table of many routes would hold a small link for seconds); stale reads (may be older than the bound). Shown by RelayTreeTest, FleetCodecTest.

--- a/chicorytrestle-core/src/main/java/io/chicorytrestle/core/fleet/ReaderChoice.java
+++ b/chicorytrestle-core/src/main/java/io/chicorytrestle/core/fleet/ReaderChoice.java
@@ -16,7 +16,7 @@
     public static final int READERS = 2;
 
     /** The key of the order in which the instances of a zone become readers. */
-    private static final String KEY = "endpoint-readers";
+    static final String KEY = "endpoint-readers";
 
     /** Not to be created. */
     private ReaderChoice() {}
--- a/chicorytrestle-core/src/test/java/io/chicorytrestle/core/fleet/ReaderChoiceTest.java
+++ b/chicorytrestle-core/src/test/java/io/chicorytrestle/core/fleet/ReaderChoiceTest.java
@@ -4,6 +4,7 @@
 import static org.hamcrest.Matchers.equalTo;
 import static org.hamcrest.Matchers.is;
 
+import io.chicorytrestle.core.routing.RendezvousOrder;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -54,6 +55,10 @@
         assertThat(others, equalTo(2L));
     }
 
+    static boolean isFirst(String name, List<String> names) {
+        return RendezvousOrder.order(ReaderChoice.KEY, names).get(0).equals(name);
+    }
+
     private static long readers(StoreContact contact) {
         Map<String, StoreContact> contacts = new HashMap<>();
         NAMES.forEach(name -> contacts.put(name, contact));
--- /dev/null
+++ b/chicorytrestle-core/src/test/java/io/chicorytrestle/core/fleet/RelayTreeTest.java
@@ -0,0 +1,61 @@
+package io.chicorytrestle.core.fleet;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.empty;
+import static org.hamcrest.Matchers.equalTo;
+import static org.hamcrest.Matchers.hasSize;
+import static org.hamcrest.Matchers.is;
+import static org.hamcrest.Matchers.lessThanOrEqualTo;
+
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
+import java.util.stream.IntStream;
+import org.junit.jupiter.api.Test;
+
+class RelayTreeTest {
+
+    private static final List<String> NAMES =
+            IntStream.range(0, 49).mapToObj(number -> "instance-" + number).toList();
+
+    @Test
+    void testChildrenWhenAllPassOn() {
+        String root =
+                NAMES.stream()
+                        .filter(name -> ReaderChoiceTest.isFirst(name, NAMES))
+                        .findFirst()
+                        .orElseThrow();
+        Set<String> reached = new HashSet<>(Set.of(root));
+        Deque<String> next = new ArrayDeque<>(reached);
+        while (!next.isEmpty()) {
+            for (String child : RelayTree.children(next.removeFirst(), NAMES)) {
+                assertThat("told once", reached.add(child), is(true));
+                next.add(child);
+            }
+        }
+
+        assertThat(reached, hasSize(NAMES.size()));
+    }
+
+    @Test
+    void testChildrenWhenManyInstancesAreKnown() {
+        for (String name : NAMES) {
+            assertThat(RelayTree.children(name, NAMES).size(), lessThanOrEqualTo(3));
+        }
+    }
+
+    @Test
+    void testChildrenWhenAlone() {
+        assertThat(RelayTree.children("a", List.of("a")), is(empty()));
+    }
+
+    @Test
+    void testChildrenWhenTwoAreKnown() {
+        int passedOn =
+                RelayTree.children("a", List.of("a", "b")).size()
+                        + RelayTree.children("b", List.of("a", "b")).size();
+        assertThat(passedOn, equalTo(1));
+    }
+}
--- a/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/fleet/FleetChannel.java
+++ b/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/fleet/FleetChannel.java
@@ -40,6 +40,12 @@
     /** The time in milliseconds after a request for a snapshot before another is sent. */
     private static final long SNAPSHOT_INTERVAL_MILLIS = 400;
 
+    /**
+     * The instances of a zone up to which each reads the routing table from the store. Beyond, the
+     * zone's readers pass it on, since all instances together pay for each change.
+     */
+    private static final int SMALL_ZONE = 8;
+
     /** The options of a connection. */
     private static final SocketSettings SOCKET_SETTINGS =
             SocketSettings.builder().withTcpNoDelay(true).build();
@@ -157,6 +163,39 @@
         return ReaderChoice.reads(self.name(), own, members.zoneContacts(nowMillis));
     }
 
+    /**
+     * Decides whether this instance reads the routing table from the store.
+     *
+     * @param readsEndpoints Whether it reads the list of endpoints.
+     * @return {@code true} if it reads the routing table itself.
+     */
+    public boolean readsTable(boolean readsEndpoints) {
+        return readsEndpoints || !isZoneLarge();
+    }
+
+    /**
+     * Returns {@code true} if a few instances read for the whole zone.
+     *
+     * @return {@code true} if a few instances read for the whole zone.
+     */
+    private boolean isZoneLarge() {
+        return members.zoneAddresses(reactor.currentTimeMillis()).size() >= SMALL_ZONE;
+    }
+
+    /** Passes the routing table in force on within a large zone. */
+    public void relayTable() {
+        if (isZoneLarge()) {
+            long nowMillis = reactor.currentTimeMillis();
+            byte[] message =
+                    FleetCodec.encode(
+                            new PublishedTable(
+                                    self.name(), ByteBuffer.wrap(knowledge.publishedTable())));
+            for (String address : members.relayAddresses(nowMillis)) {
+                send(address, message, nowMillis);
+            }
+        }
+    }
+
     /**
      * Tells the instances of the zone what changed in the store's list of endpoints.
      *
@@ -224,12 +263,12 @@
      */
     private void send(String address, byte[] message, long nowMillis) {
         FleetLink link = links.get(address);
-        if (link != null && (link.isBusy() || !members.isFresh(address, nowMillis))) {
+        if (link != null && (link.isStuck(nowMillis) || !members.isFresh(address, nowMillis))) {
             link.close(new IOException("Peer is silent"));
             link = null;
         }
         if (link != null) {
-            link.send(message);
+            link.send(message, nowMillis);
         } else if (connecting.add(address)) {
             TcpSocket.connect(
                             reactor,
@@ -257,7 +296,7 @@
         FleetLink made =
                 new FleetLink(socket, this::received, closed -> links.remove(address, closed));
         links.put(address, made);
-        made.send(message);
+        made.send(message, reactor.currentTimeMillis());
     }
 
     /**
@@ -281,11 +320,14 @@
                                     self.name(),
                                     ByteBuffer.wrap(table),
                                     knowledge.endpointRevision(),
-                                    List.copyOf(knowledge.endpoints()))));
+                                    List.copyOf(knowledge.endpoints()))),
+                    nowMillis);
         } else if (message instanceof Snapshot snapshot) {
             received(snapshot, nowMillis);
         } else if (message instanceof EndpointChanges changes) {
             knowledge.told(changes, nowMillis);
+        } else if (message instanceof PublishedTable published) {
+            received(published.table(), published.sender());
         }
     }
 
@@ -341,21 +383,32 @@
      * @param nowMillis The present time in milliseconds.
      */
     private void received(Snapshot snapshot, long nowMillis) {
-        ByteBuffer buffer = snapshot.table().duplicate();
-        if (buffer.hasRemaining()) {
-            byte[] published = new byte[buffer.remaining()];
-            buffer.get(published);
-            try {
-                RoutingTable table = codec.decode(published);
-                knowledge.accept(table, published, snapshot.sender());
-            } catch (IOException exception) {
-                LOGGER.atWarning()
-                        .with(LogFields.PEER, snapshot.sender())
-                        .with(LogFields.REASON, String.valueOf(exception.getMessage()))
-                        .log("peer_table_refused");
-            }
+        if (snapshot.table().hasRemaining()) {
+            received(snapshot.table(), snapshot.sender());
         }
         knowledge.told(
                 snapshot.endpoints(), snapshot.endpointRevision(), snapshot.sender(), nowMillis);
     }
+
+    /**
+     * Takes a routing table, and passes it on if it is new.
+     *
+     * @param text The table as it was published.
+     * @param peer The instance that sent it.
+     */
+    private void received(ByteBuffer text, String peer) {
+        byte[] published = new byte[text.remaining()];
+        text.duplicate().get(published);
+        try {
+            RoutingTable table = codec.decode(published);
+            if (knowledge.accept(table, published, peer)) {
+                relayTable();
+            }
+        } catch (IOException exception) {
+            LOGGER.atWarning()
+                    .with(LogFields.PEER, peer)
+                    .with(LogFields.REASON, String.valueOf(exception.getMessage()))
+                    .log("peer_table_refused");
+        }
+    }
 }
--- a/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/fleet/FleetCodec.java
+++ b/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/fleet/FleetCodec.java
@@ -29,6 +29,9 @@
     /** The number that starts changes of endpoints. */
     private static final int ENDPOINT_CHANGES = 4;
 
+    /** The number that starts a routing table that is passed on. */
+    private static final int PUBLISHED_TABLE = 5;
+
     /** Not to be created. */
     private FleetCodec() {}
 
@@ -53,6 +56,10 @@
             } else if (message instanceof EndpointChanges changes) {
                 packer.packInt(ENDPOINT_CHANGES);
                 pack(packer, changes);
+            } else if (message instanceof PublishedTable published) {
+                packer.packInt(PUBLISHED_TABLE);
+                packer.packString(published.sender());
+                pack(packer, published.table());
             }
             return packer.toByteArray();
         } catch (IOException exception) {
@@ -75,6 +82,8 @@
                 case SNAPSHOT_REQUEST -> new SnapshotRequest(unpacker.unpackLong());
                 case SNAPSHOT -> unpackSnapshot(unpacker);
                 case ENDPOINT_CHANGES -> unpackChanges(unpacker);
+                case PUBLISHED_TABLE ->
+                        new PublishedTable(unpacker.unpackString(), unpackBytes(unpacker));
                 default -> throw new IOException("Kind of message is unknown: " + kind);
             };
         } catch (RuntimeException exception) {
@@ -230,11 +239,7 @@
      */
     private static void pack(MessageBufferPacker packer, Snapshot snapshot) throws IOException {
         packer.packString(snapshot.sender());
-        ByteBuffer table = snapshot.table().duplicate();
-        byte[] bytes = new byte[table.remaining()];
-        table.get(bytes);
-        packer.packBinaryHeader(bytes.length);
-        packer.writePayload(bytes);
+        pack(packer, snapshot.table());
         packer.packLong(snapshot.endpointRevision());
         pack(packer, snapshot.endpoints());
     }
@@ -248,10 +253,35 @@
      */
     private static Snapshot unpackSnapshot(MessageUnpacker unpacker) throws IOException {
         String sender = unpacker.unpackString();
-        byte[] table = unpacker.readPayload(unpacker.unpackBinaryHeader());
+        ByteBuffer table = unpackBytes(unpacker);
         long endpointRevision = unpacker.unpackLong();
         List<ServingEndpoint> endpoints = unpackEndpoints(unpacker);
-        return new Snapshot(sender, ByteBuffer.wrap(table), endpointRevision, endpoints);
+        return new Snapshot(sender, table, endpointRevision, endpoints);
+    }
+
+    /**
+     * Writes bytes.
+     *
+     * @param packer Takes the bytes.
+     * @param bytes The bytes.
+     * @throws IOException Never, since the output is memory.
+     */
+    private static void pack(MessageBufferPacker packer, ByteBuffer bytes) throws IOException {
+        byte[] copied = new byte[bytes.remaining()];
+        bytes.duplicate().get(copied);
+        packer.packBinaryHeader(copied.length);
+        packer.writePayload(copied);
+    }
+
+    /**
+     * Reads bytes.
+     *
+     * @param unpacker Gives the bytes.
+     * @return The bytes.
+     * @throws IOException If the message is malformed.
+     */
+    private static ByteBuffer unpackBytes(MessageUnpacker unpacker) throws IOException {
+        return ByteBuffer.wrap(unpacker.readPayload(unpacker.unpackBinaryHeader()));
     }
 
     /**
--- a/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/fleet/FleetLink.java
+++ b/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/fleet/FleetLink.java
@@ -18,6 +18,11 @@
     /** The most bytes of a frame: a value of the store with room for the endpoints. */
     private static final int MAXIMUM_FRAME_BYTES = 2_097_152;
 
+    /**
+     * The longest time in milliseconds for which messages may wait: a routing table on a slow link.
+     */
+    private static final long LONGEST_WAIT_MILLIS = 800;
+
     /** The most bytes of a frame's length. */
     private static final int MAXIMUM_LENGTH_BYTES = 5;
 
@@ -30,8 +35,11 @@
     /** Called when the connection is closed. */
     private final Consumer<FleetLink> closing;
 
-    /** Whether written bytes wait. */
-    private boolean isBusy;
+    /** The messages that wait to be written. */
+    private int waiting;
+
+    /** The time in milliseconds since which messages wait. */
+    private long waitingSinceMillis;
 
     /** Whether the connection was closed. */
     private boolean isClosed;
@@ -75,25 +83,30 @@
      * Sends a message.
      *
      * @param message The encoded message.
+     * @param nowMillis The present time in milliseconds.
      */
-    void send(byte[] message) {
+    void send(byte[] message, long nowMillis) {
         if (isClosed) {
             return;
         }
         ByteBuf buffer = ByteBufPool.allocate(message.length + MAXIMUM_LENGTH_BYTES);
         buffer.writeVarInt(message.length);
         buffer.put(message);
-        isBusy = true;
-        socket.write(buffer).whenComplete(ignored -> isBusy = false, this::close);
+        if (waiting == 0) {
+            waitingSinceMillis = nowMillis;
+        }
+        waiting++;
+        socket.write(buffer).whenComplete(ignored -> waiting--, this::close);
     }
 
     /**
-     * Returns {@code true} if bytes wait to be written.
+     * Returns {@code true} if messages have waited for too long.
      *
-     * @return {@code true} if the peer reads slowly or is out of reach.
+     * @param nowMillis The present time in milliseconds.
+     * @return {@code true} if the peer does not read or is out of reach.
      */
-    boolean isBusy() {
-        return isBusy;
+    boolean isStuck(long nowMillis) {
+        return waiting > 0 && nowMillis - waitingSinceMillis > LONGEST_WAIT_MILLIS;
     }
 
     /**
--- a/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/fleet/FleetMembers.java
+++ b/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/fleet/FleetMembers.java
@@ -1,5 +1,6 @@
 package io.chicorytrestle.gateway.fleet;
 
+import io.chicorytrestle.core.fleet.RelayTree;
 import io.chicorytrestle.core.fleet.StoreContact;
 import java.util.ArrayList;
 import java.util.Collections;
@@ -226,6 +227,25 @@
         return addresses;
     }
 
+    /**
+     * Returns the addresses to which this instance passes news on within its zone.
+     *
+     * @param nowMillis The present time in milliseconds.
+     * @return The addresses.
+     */
+    List<String> relayAddresses(long nowMillis) {
+        Map<String, String> addresses = new HashMap<>();
+        addresses.put(self.name(), self.address());
+        for (Member member : members.values()) {
+            if (isFresh(member, nowMillis) && member.peer().zone().equals(self.zone())) {
+                addresses.put(member.peer().name(), member.peer().address());
+            }
+        }
+        return RelayTree.children(self.name(), addresses.keySet()).stream()
+                .map(addresses::get)
+                .toList();
+    }
+
     /**
      * Returns some known instances for a beat.
      *
--- a/chicorytrestle-gateway/src/test/java/io/chicorytrestle/gateway/fleet/FleetCodecTest.java
+++ b/chicorytrestle-gateway/src/test/java/io/chicorytrestle/gateway/fleet/FleetCodecTest.java
@@ -43,6 +43,13 @@
         assertThat(FleetCodec.decode(FleetCodec.encode(beat)), equalTo(beat));
     }
 
+    @Test
+    void testDecodeWhenPublishedTable() throws IOException {
+        PublishedTable published = new PublishedTable("a", ByteBuffer.wrap(new byte[] {1, 2}));
+
+        assertThat(FleetCodec.decode(FleetCodec.encode(published)), equalTo(published));
+    }
+
     @Test
     void testDecodeWhenSnapshot() throws IOException {
         Snapshot snapshot =
