Let instances that started together take different turns across zones

Instances that start together count their beats alike, so a receiver heard all of a zone at once and then nothing for up to 1.2 s, beyond the second after which a zone counts as lost. Streams were resumed and lookups repeated elsewhere for no reason.

Change: the turn depends on sender and receiver. Shown by FleetMembersTest .testTargetsWhenZoneStartedTogether, which failed before.

Ruled out: a longer silence, since a real cut would be noticed later.

--- a/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/fleet/FleetMembers.java
+++ b/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/fleet/FleetMembers.java
@@ -152,9 +152,7 @@
         for (Member member : members.values()) {
             boolean isFresh = isFresh(member, nowMillis);
             boolean isTurn =
-                    member.peer().zone().equals(self.zone())
-                            || Math.floorMod(member.peer().address().hashCode() + beats, stride)
-                                    == 0;
+                    member.peer().zone().equals(self.zone()) || isTurn(member.peer(), stride);
             if (isFresh && !isTurn) {
                 continue;
             }
@@ -179,6 +177,19 @@
         return List.copyOf(chosen);
     }
 
+    /**
+     * Returns {@code true} if this beat goes to an instance of another zone. Instances that started
+     * together take different turns, so that the other hears one of them at each beat.
+     *
+     * @param peer The other instance.
+     * @param stride How many beats pass between two that go to it.
+     * @return {@code true} if this beat goes to the instance.
+     */
+    private boolean isTurn(PeerAddress peer, int stride) {
+        int shift = peer.address().hashCode() + self.address().hashCode();
+        return Math.floorMod(shift + beats, stride) == 0;
+    }
+
     /**
      * Returns how many beats pass between two that go to an instance of another zone. The larger
      * the own zone, the more of its instances another zone hears, so that each can speak less.
--- a/chicorytrestle-gateway/src/test/java/io/chicorytrestle/gateway/fleet/FleetMembersTest.java
+++ b/chicorytrestle-gateway/src/test/java/io/chicorytrestle/gateway/fleet/FleetMembersTest.java
@@ -10,9 +10,12 @@
 import static org.hamcrest.Matchers.is;
 
 import io.chicorytrestle.core.fleet.StoreContact;
+import java.util.ArrayList;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Random;
+import java.util.Set;
 import org.junit.jupiter.api.Test;
 
 class FleetMembersTest {
@@ -58,6 +61,31 @@
                 equalTo(100L));
     }
 
+    /** Plays a zone whose instances started together, so that their beats are counted alike. */
+    @Test
+    void testTargetsWhenZoneStartedTogether() {
+        List<FleetMembers> zone = new ArrayList<>();
+        for (int sender = 1; sender <= 9; sender++) {
+            PeerAddress self = peer("10.0.1." + sender + ":9", "a");
+            FleetMembers known = new FleetMembers(self, List.of(), new Random(sender));
+            for (int number = 1; number <= 9; number++) {
+                known.heard(beat("10.0.1." + number + ":9", "a", false, List.of()), 0);
+                known.heard(beat("10.0.2." + number + ":9", "b", false, List.of()), 0);
+            }
+            zone.add(known);
+        }
+
+        for (int time = 0; time < 6; time++) {
+            Set<String> told = new HashSet<>();
+            for (FleetMembers known : zone) {
+                told.addAll(known.targets(StoreContact.FOLLOWING, 1));
+            }
+            for (int number = 1; number <= 9; number++) {
+                assertThat(told, hasItem("10.0.2." + number + ":9"));
+            }
+        }
+    }
+
     @Test
     void testIsFreshWhenFleetIsLarge() {
         for (int number = 1; number <= 145; number++) {
