Continue resumable streams that stall

Cause: an endpoint or a connection that falls silent in the midst of a stream kept its caller waiting until the deadline, or until the caller left after some seconds; only silence before the first event was noticed.

Change: three times the longest useful pause, a second at least, after the last piece the stream goes on at another endpoint, if the route and the retry budget allow it. SilenceWatch holds both waits. Shown by PlatformPathTest .testAnswerWhenResumableStreamStalls, which hung until the time-out before.

--- a/chicorytrestle-core/src/main/java/io/chicorytrestle/core/attempt/Patience.java
+++ b/chicorytrestle-core/src/main/java/io/chicorytrestle/core/attempt/Patience.java
@@ -17,6 +17,15 @@
     /** The share of the remaining time that leaves enough for another endpoint. */
     private static final double REMAINING_SHARE = 0.45;
 
+    /** The multiple of the longest useful pause after which a stream counts as stalled. */
+    private static final long GAP_MULTIPLE = 3;
+
+    /**
+     * The shortest stall in milliseconds: an endpoint that makes room for urgent work pauses some
+     * streams for less.
+     */
+    private static final long SHORTEST_STALL_MILLIS = 1_000;
+
     /** Not to be created. */
     private Patience() {}
 
@@ -31,4 +40,14 @@
         long expected = Math.max(SHORTEST_MILLIS, TARGET_MULTIPLE * latencyTargetMillis);
         return Math.max(1, Math.min(expected, (long) (remainingMillis * REMAINING_SHARE)));
     }
+
+    /**
+     * Returns how long a stream that began may pause before it is continued at another endpoint.
+     *
+     * @param gapTargetMillis The longest pause that is fully useful, in milliseconds.
+     * @return The time in milliseconds.
+     */
+    public static long stallMillis(long gapTargetMillis) {
+        return Math.max(SHORTEST_STALL_MILLIS, GAP_MULTIPLE * gapTargetMillis);
+    }
 }
--- a/chicorytrestle-core/src/main/java/io/chicorytrestle/core/route/Route.java
+++ b/chicorytrestle-core/src/main/java/io/chicorytrestle/core/route/Route.java
@@ -11,6 +11,8 @@
  * @param repeatability How often a request may be executed.
  * @param timeoutMillis The longest time for which a request is kept waiting.
  * @param latencyTargetMillis The time within which an answer is fully useful.
+ * @param gapTargetMillis The longest pause between events of a stream that is fully useful, or zero
+ *     if none is stated.
  * @param maximumAttempts The most endpoints to which one request is sent.
  * @param rank The urgency, zero being the most urgent.
  * @param isPublic Whether callers need no key.
@@ -24,6 +26,7 @@
         Repeatability repeatability,
         long timeoutMillis,
         long latencyTargetMillis,
+        long gapTargetMillis,
         int maximumAttempts,
         int rank,
         boolean isPublic,
--- a/chicorytrestle-core/src/test/java/io/chicorytrestle/core/attempt/PatienceTest.java
+++ b/chicorytrestle-core/src/test/java/io/chicorytrestle/core/attempt/PatienceTest.java
@@ -26,4 +26,14 @@
     void testMillisWhenNoTimeIsLeft() {
         assertThat(Patience.millis(600, -10), equalTo(1L));
     }
+
+    @Test
+    void testStallMillisWhenPausesMayBeLong() {
+        assertThat(Patience.stallMillis(500), equalTo(1_500L));
+    }
+
+    @Test
+    void testStallMillisWhenPausesMustBeShort() {
+        assertThat(Patience.stallMillis(0), equalTo(1_000L));
+    }
 }
--- a/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/exchange/Attempt.java
+++ b/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/exchange/Attempt.java
@@ -2,6 +2,7 @@
 
 import io.chicorytrestle.core.placement.Placement;
 import io.chicorytrestle.core.placement.ServingEndpoint;
+import io.chicorytrestle.core.route.Route;
 import io.chicorytrestle.core.verdict.Verdict;
 import io.chicorytrestle.gateway.dialect.AnswerFacts;
 import io.chicorytrestle.gateway.endpoint.AnswerListener;
@@ -36,6 +37,9 @@
     /** The endpoint and why it was chosen. */
     private final Placement placement;
 
+    /** Notices that the endpoint stays silent. */
+    private final SilenceWatch silence;
+
     /** The body of an answer that is held until it is complete. */
     private final ByteArrayOutputStream held = new ByteArrayOutputStream(0);
 
@@ -60,11 +64,22 @@
      * @param context What all requests share.
      * @param exchange The request.
      * @param placement The endpoint and why it was chosen.
+     * @param route The route.
      */
-    Attempt(GatewayContext context, Exchange exchange, Placement placement) {
+    Attempt(GatewayContext context, Exchange exchange, Placement placement, Route route) {
         this.context = context;
         this.exchange = exchange;
         this.placement = placement;
+        silence = new SilenceWatch(context, route, () -> exchange.silent(this));
+    }
+
+    /**
+     * Returns what notices that the endpoint stays silent.
+     *
+     * @return What notices that the endpoint stays silent.
+     */
+    SilenceWatch silence() {
+        return silence;
     }
 
     /**
@@ -148,7 +163,7 @@
 
     /** Gives up the attempt, since the endpoint should have answered by now. */
     void cancelSilent() {
-        if (!isOver && isSent && head == null) {
+        if (!isOver && isSent) {
             context.outcomes().ended(endpoint().incarnation(), false, context.nowMillis());
         }
         cancel();
@@ -167,6 +182,7 @@
     /** Takes note of the end of the attempt. */
     private void end() {
         isOver = true;
+        silence.end();
         context.loads().end(endpoint().incarnation());
     }
 
@@ -181,6 +197,9 @@
                                                 endpoint().incarnation(),
                                                 load,
                                                 context.nowMillis()));
+        if (!exchange.isStream()) {
+            silence.end();
+        }
         boolean isSuccess = answer.status().codeClass() == HttpStatusClass.SUCCESS;
         boolean isRefusal =
                 facts.isNotExecuted()
@@ -229,7 +248,7 @@
             return;
         }
         if (treatment == Treatment.STREAM) {
-            exchange.streamed(content);
+            exchange.streamed(this, content);
             pauseWhileCongested();
         } else if (treatment == Treatment.HOLD) {
             byte[] bytes = new byte[content.readableBytes()];
@@ -238,7 +257,7 @@
             if (held.size() > MAXIMUM_HELD_BYTES && head != null) {
                 treatment = Treatment.STREAM;
                 exchange.streamStarted(this, head);
-                exchange.streamed(io.netty.buffer.Unpooled.wrappedBuffer(held.toByteArray()));
+                exchange.streamed(this, io.netty.buffer.Unpooled.wrappedBuffer(held.toByteArray()));
                 held.reset();
             }
         }
--- a/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/exchange/Exchange.java
+++ b/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/exchange/Exchange.java
@@ -2,7 +2,6 @@
 
 import io.activej.reactor.schedule.ScheduledRunnable;
 import io.chicorytrestle.core.attempt.NextStep;
-import io.chicorytrestle.core.attempt.Patience;
 import io.chicorytrestle.core.attempt.RefusalReason;
 import io.chicorytrestle.core.placement.Placement;
 import io.chicorytrestle.core.verdict.Verdict;
@@ -117,9 +116,9 @@
         Placement placement = chosen.get();
         tried.add(placement.endpoint().incarnation());
         report.placed(placement, remainingMillis());
-        Attempt begun = new Attempt(context, this, placement);
+        Attempt begun = new Attempt(context, this, placement, routed.route());
         attempt = begun;
-        awaitAnswer(begun);
+        begun.silence().begin(remainingMillis());
         begun.begin(
                 () ->
                         routed.writer()
@@ -130,25 +129,6 @@
                 routed.request().id());
     }
 
-    /**
-     * Plans to go on elsewhere if an endpoint stays silent and the request may be repeated.
-     *
-     * @param begun The attempt.
-     */
-    private void awaitAnswer(Attempt begun) {
-        if (routed.route().repeatability().isIdempotent()) {
-            context.reactor()
-                    .delayBackground(
-                            Patience.millis(
-                                    routed.route().latencyTargetMillis(), remainingMillis()),
-                            () -> {
-                                if (attempt == begun && !begun.isStarted()) {
-                                    giveUp(begun, begun::cancelSilent, "endpoint is silent");
-                                }
-                            });
-        }
-    }
-
     /**
      * Takes note of a request that was written.
      *
@@ -196,14 +176,17 @@
                     .update(context.nowMillis() - arrivedMillis);
             relay.start(head, isStream());
         }
+        from.silence().progressed();
     }
 
     /**
      * Takes a piece of an answer that is passed on as it arrives.
      *
+     * @param from The attempt.
      * @param content The piece.
      */
-    void streamed(ByteBuf content) {
+    void streamed(Attempt from, ByteBuf content) {
+        from.silence().progressed();
         relay.send(content);
     }
 
@@ -331,6 +314,15 @@
         }
     }
 
+    /**
+     * Goes on elsewhere if an endpoint stays silent and the request may be repeated.
+     *
+     * @param from The attempt.
+     */
+    void silent(Attempt from) {
+        giveUp(from, from::cancelSilent, "endpoint is silent");
+    }
+
     /**
      * Gives up an attempt if the request can be sent once more.
      *
--- /dev/null
+++ b/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/exchange/SilenceWatch.java
@@ -0,0 +1,92 @@
+package io.chicorytrestle.gateway.exchange;
+
+import io.chicorytrestle.core.attempt.Patience;
+import io.chicorytrestle.core.route.Route;
+
+/**
+ * Notices that an attempt's endpoint stays silent, if the request may be sent to another one. It is
+ * confined to the event loop's thread.
+ */
+final class SilenceWatch {
+
+    /** What all requests share. */
+    private final GatewayContext context;
+
+    /** The route. */
+    private final Route route;
+
+    /** Called if the endpoint stays silent. */
+    private final Runnable silent;
+
+    /** The time in milliseconds at which part of a stream arrived last. */
+    private long progressedMillis;
+
+    /** Whether part of a stream arrived. */
+    private boolean isStarted;
+
+    /** Whether the attempt ended. */
+    private boolean isOver;
+
+    /**
+     * Creates a new watch.
+     *
+     * @param context What all requests share.
+     * @param route The route.
+     * @param silent Called if the endpoint stays silent.
+     */
+    SilenceWatch(GatewayContext context, Route route, Runnable silent) {
+        this.context = context;
+        this.route = route;
+        this.silent = silent;
+    }
+
+    /**
+     * Waits for the begin of the answer.
+     *
+     * @param remainingMillis The time that is left for the request, in milliseconds.
+     */
+    void begin(long remainingMillis) {
+        if (route.repeatability().isIdempotent()) {
+            context.reactor()
+                    .delayBackground(
+                            Patience.millis(route.latencyTargetMillis(), remainingMillis),
+                            () -> {
+                                if (!isOver && !isStarted) {
+                                    silent.run();
+                                }
+                            });
+        }
+    }
+
+    /** Takes note of part of a stream. */
+    void progressed() {
+        progressedMillis = context.nowMillis();
+        if (!isStarted) {
+            isStarted = true;
+            if (route.repeatability().allowsResume()) {
+                awaitMore();
+            }
+        }
+    }
+
+    /** Waits for the next part of a stream. */
+    private void awaitMore() {
+        long leftMillis =
+                progressedMillis
+                        + Patience.stallMillis(route.gapTargetMillis())
+                        - context.nowMillis();
+        if (isOver) {
+            return;
+        }
+        if (leftMillis <= 0) {
+            silent.run();
+        } else {
+            context.reactor().delayBackground(leftMillis, this::awaitMore);
+        }
+    }
+
+    /** Takes note of the end of the attempt, or of an answer that is awaited to its end. */
+    void end() {
+        isOver = true;
+    }
+}
