Remove the decision on engine orders, which nothing sent

The users' platform offers no orders to engines in the contracts in force, and the daemon never had a client for them. The setting of the weight store and its client stay, since the product keeps its configuration.

--- a/chicorytrestle-core/src/main/java/io/chicorytrestle/core/audit/AuditEvent.java
+++ b/chicorytrestle-core/src/main/java/io/chicorytrestle/core/audit/AuditEvent.java
@@ -53,9 +53,6 @@
         /** A request was put under suspicion or in quarantine. */
         QUARANTINE,
 
-        /** An order was given to an engine. */
-        ORDER,
-
         /** This process stood still and dropped its old beliefs. */
         PAUSE,
 
