--- a/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/Gateway.java
+++ b/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/Gateway.java
@@ -26,8 +26,6 @@
 import io.chicorytrestle.gateway.operations.LineSink;
 import io.chicorytrestle.gateway.operations.LogFields;
 import io.chicorytrestle.gateway.settings.GatewaySettings;
-import io.netty.handler.codec.http.DefaultHttpResponse;
-import io.netty.handler.codec.http.DefaultLastHttpContent;
 import io.netty.handler.codec.http.FullHttpResponse;
 import io.netty.handler.codec.http.HttpResponseStatus;
 import java.io.IOException;
@@ -227,10 +225,7 @@
      */
     private static CallerHandler text(Supplier<FullHttpResponse> answer) {
         return (head, body, caller) -> {
-            FullHttpResponse full = answer.get();
-            caller.start(
-                    new DefaultHttpResponse(full.protocolVersion(), full.status(), full.headers()));
-            caller.send(new DefaultLastHttpContent(full.content()));
+            caller.send(answer.get());
             return () -> {};
         };
     }
--- a/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/exchange/AnswerRelay.java
+++ b/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/exchange/AnswerRelay.java
@@ -8,7 +8,6 @@
 import io.netty.handler.codec.http.DefaultHttpContent;
 import io.netty.handler.codec.http.DefaultHttpResponse;
 import io.netty.handler.codec.http.DefaultLastHttpContent;
-import io.netty.handler.codec.http.FullHttpResponse;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaderValues;
 import io.netty.handler.codec.http.HttpResponse;
@@ -138,12 +137,8 @@
      *     zero to state none.
      */
     void own(HttpResponseStatus status, String text, long retryAfterMillis) {
-        FullHttpResponse full = OwnAnswers.refusal(status, text, retryAfterMillis);
         isStarted = true;
-        HttpResponse answer =
-                new DefaultHttpResponse(full.protocolVersion(), status, full.headers());
-        caller.start(answer);
-        caller.send(new DefaultLastHttpContent(full.content()));
+        caller.send(OwnAnswers.refusal(status, text, retryAfterMillis));
     }
 
     /**
--- a/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/front/Caller.java
+++ b/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/front/Caller.java
@@ -1,5 +1,8 @@
 package io.chicorytrestle.gateway.front;
 
+import io.netty.handler.codec.http.DefaultHttpResponse;
+import io.netty.handler.codec.http.DefaultLastHttpContent;
+import io.netty.handler.codec.http.FullHttpResponse;
 import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpResponse;
 
@@ -20,6 +23,16 @@
      */
     void send(HttpContent content);
 
+    /**
+     * Sends a whole answer.
+     *
+     * @param answer The answer, which states its length.
+     */
+    default void send(FullHttpResponse answer) {
+        start(new DefaultHttpResponse(answer.protocolVersion(), answer.status(), answer.headers()));
+        send(new DefaultLastHttpContent(answer.content()));
+    }
+
     /** Breaks the connection, so that an unfinished answer cannot be taken for a whole one. */
     void abort();
 
