Take answers of endpoints as signs of life of their zone

Change: an answer or an event from an endpoint of a zone shows that the zone is reached, and a zone whose last known instance says that it ends is no longer expected to be heard.

Ruled out: a longer silence, since a cut would be noticed later. Shown by ZoneReachTest.testUnreachableWhenLastInstanceOfZoneEnded.

--- a/chicorytrestle-core/src/main/java/io/chicorytrestle/core/placement/ZoneReach.java
+++ b/chicorytrestle-core/src/main/java/io/chicorytrestle/core/placement/ZoneReach.java
@@ -6,8 +6,8 @@
 import java.util.Set;
 
 /**
- * Judges which availability zones are out of reach: those whose instances all fell silent while
- * those of the own zone are heard. It is confined to one thread.
+ * Judges which availability zones are out of reach: those of which neither an instance nor an
+ * endpoint was heard lately, while the own zone is heard. It is confined to one thread.
  */
 public final class ZoneReach {
 
@@ -19,7 +19,7 @@
     /** The own zone. */
     private final String ownZone;
 
-    /** The last sign of life of any instance of a zone, in milliseconds. */
+    /** The last sign of life of any instance or endpoint of a zone, in milliseconds. */
     private final Map<String, Long> heard = new HashMap<>();
 
     /**
@@ -34,13 +34,22 @@
     /**
      * Takes note of a sign of life.
      *
-     * @param zone The zone of the instance.
+     * @param zone The zone of the instance or endpoint.
      * @param nowMillis The present time in milliseconds.
      */
     public void heard(String zone, long nowMillis) {
         heard.put(zone, nowMillis);
     }
 
+    /**
+     * Expects no more signs of life for now, since the last instance of a zone is about to end.
+     *
+     * @param zone The zone.
+     */
+    public void forget(String zone) {
+        heard.remove(zone);
+    }
+
     /**
      * Returns the zones that are out of reach.
      *
@@ -61,11 +70,11 @@
     }
 
     /**
-     * Returns {@code true} if no instance of a zone was heard lately.
+     * Returns {@code true} if nothing of a zone was heard lately.
      *
      * @param zone The zone.
      * @param nowMillis The present time in milliseconds.
-     * @return {@code true} if no instance of the zone was heard lately.
+     * @return {@code true} if nothing of the zone was heard lately.
      */
     private boolean isSilent(String zone, long nowMillis) {
         Long heardMillis = heard.get(zone);
--- a/chicorytrestle-core/src/test/java/io/chicorytrestle/core/placement/ZoneReachTest.java
+++ b/chicorytrestle-core/src/test/java/io/chicorytrestle/core/placement/ZoneReachTest.java
@@ -35,4 +35,13 @@
 
         assertThat(reach.unreachable(1_800), empty());
     }
+
+    @Test
+    void testUnreachableWhenLastInstanceOfZoneEnded() {
+        reach.heard("b", 0);
+        reach.forget("b");
+        reach.heard("a", 1_500);
+
+        assertThat(reach.unreachable(1_600), empty());
+    }
 }
--- a/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/exchange/Attempt.java
+++ b/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/exchange/Attempt.java
@@ -189,6 +189,7 @@
     @Override
     public void started(HttpResponse answer, AnswerFacts facts) {
         head = answer;
+        context.reach().heard(endpoint().zone(), context.nowMillis());
         facts.load()
                 .ifPresent(
                         load ->
@@ -248,6 +249,7 @@
             return;
         }
         if (treatment == Treatment.STREAM) {
+            context.reach().heard(endpoint().zone(), context.nowMillis());
             exchange.streamed(this, content);
             pauseWhileCongested();
         } else if (treatment == Treatment.HOLD) {
--- a/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/exchange/Exchange.java
+++ b/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/exchange/Exchange.java
@@ -288,7 +288,7 @@
             if (running.isSent()) {
                 progress.note(Verdict.MAY_HAVE_RUN);
             }
-            running.cancelSilent();
+            running.cancel();
         }
         if (relay.isStarted()) {
             finish().cut("deadline passed");
--- a/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/fleet/FleetChannel.java
+++ b/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/fleet/FleetChannel.java
@@ -297,7 +297,11 @@
                     .with(LogFields.COUNT, members.size())
                     .log("peer_found");
         }
-        observations.reach().heard(beat.sender().zone(), nowMillis);
+        if (beat.isEnding() && !members.isZoneKnown(beat.sender().zone(), nowMillis)) {
+            observations.reach().forget(beat.sender().zone());
+        } else {
+            observations.reach().heard(beat.sender().zone(), nowMillis);
+        }
         observations.loads().peer(beat.sender().name(), beat.counts(), nowMillis);
         if (beat.sender().zone().equals(self.zone())) {
             observations.outcomes().peer(beat.sender().name(), beat.outcomes(), nowMillis);
--- a/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/fleet/FleetMembers.java
+++ b/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/fleet/FleetMembers.java
@@ -238,6 +238,19 @@
         return addresses;
     }
 
+    /**
+     * Returns {@code true} if some other instance of a zone is within reach.
+     *
+     * @param zone The zone.
+     * @param nowMillis The present time in milliseconds.
+     * @return {@code true} if some other instance of the zone is within reach.
+     */
+    boolean isZoneKnown(String zone, long nowMillis) {
+        return members.values().stream()
+                .anyMatch(
+                        member -> member.peer().zone().equals(zone) && isFresh(member, nowMillis));
+    }
+
     /**
      * Returns the addresses to which this instance passes news on within its zone.
      *
