Move what knows no platform out of the adapter; expect nothing from a paused stream

Found in reading: a stream that is not read because its caller reads slowly counted as stalled after a second; the watch waits now until it is read again.

--- a/platform/src/main/java/io/chicorytrestle/platform/JsonFields.java
+++ b/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/document/JsonFields.java
@@ -1,4 +1,4 @@
-package io.chicorytrestle.platform;
+package io.chicorytrestle.gateway.document;
 
 import com.fasterxml.jackson.jr.ob.JSON;
 import java.io.IOException;
@@ -10,7 +10,7 @@
 import java.util.OptionalLong;
 
 /** Reads the fields of a JSON object and names the field that cannot be read. */
-final class JsonFields {
+public final class JsonFields {
 
     /** The values by name. */
     private final Map<?, ?> values;
@@ -31,7 +31,7 @@
      * @return The fields.
      * @throws MalformedDocumentException If the text is no object.
      */
-    static JsonFields parse(byte[] bytes) throws MalformedDocumentException {
+    public static JsonFields parse(byte[] bytes) throws MalformedDocumentException {
         try {
             return new JsonFields(JSON.std.mapFrom(new String(bytes, StandardCharsets.UTF_8)));
         } catch (IOException exception) {
@@ -46,7 +46,7 @@
      * @return The text.
      * @throws MalformedDocumentException If the field is missing or of another type.
      */
-    String text(String name) throws MalformedDocumentException {
+    public String text(String name) throws MalformedDocumentException {
         if (values.get(name) instanceof String text) {
             return text;
         }
@@ -60,7 +60,7 @@
      * @return The number.
      * @throws MalformedDocumentException If the field is missing or of another type.
      */
-    double number(String name) throws MalformedDocumentException {
+    public double number(String name) throws MalformedDocumentException {
         if (values.get(name) instanceof Number number) {
             return number.doubleValue();
         }
@@ -74,7 +74,7 @@
      * @return The number.
      * @throws MalformedDocumentException If the field is missing or of another type.
      */
-    long whole(String name) throws MalformedDocumentException {
+    public long whole(String name) throws MalformedDocumentException {
         if (values.get(name) instanceof Number number
                 && (number instanceof Long || number instanceof Integer)) {
             return number.longValue();
@@ -89,7 +89,7 @@
      * @return The number, or empty if the field is missing.
      * @throws MalformedDocumentException If the field is of another type.
      */
-    OptionalLong optionalWhole(String name) throws MalformedDocumentException {
+    public OptionalLong optionalWhole(String name) throws MalformedDocumentException {
         return values.get(name) == null ? OptionalLong.empty() : OptionalLong.of(whole(name));
     }
 
@@ -100,7 +100,7 @@
      * @return The value, or false if the field is missing.
      * @throws MalformedDocumentException If the field is of another type.
      */
-    boolean flag(String name) throws MalformedDocumentException {
+    public boolean flag(String name) throws MalformedDocumentException {
         Object value = values.get(name);
         if (value == null) {
             return false;
@@ -118,7 +118,7 @@
      * @return The objects.
      * @throws MalformedDocumentException If the field is of another type.
      */
-    List<JsonFields> objects(String name) throws MalformedDocumentException {
+    public List<JsonFields> objects(String name) throws MalformedDocumentException {
         List<JsonFields> objects = new ArrayList<>();
         for (Object element : list(name)) {
             if (!(element instanceof Map<?, ?> map)) {
@@ -136,7 +136,7 @@
      * @return The texts.
      * @throws MalformedDocumentException If the field is of another type.
      */
-    List<String> texts(String name) throws MalformedDocumentException {
+    public List<String> texts(String name) throws MalformedDocumentException {
         List<String> texts = new ArrayList<>();
         for (Object element : list(name)) {
             if (!(element instanceof String text)) {
@@ -154,7 +154,7 @@
      * @return The object, or empty if the field is missing.
      * @throws MalformedDocumentException If the field is of another type.
      */
-    Optional<JsonFields> object(String name) throws MalformedDocumentException {
+    public Optional<JsonFields> object(String name) throws MalformedDocumentException {
         Object value = values.get(name);
         if (value == null) {
             return Optional.empty();
--- a/platform/src/main/java/io/chicorytrestle/platform/MalformedDocumentException.java
+++ b/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/document/MalformedDocumentException.java
@@ -1,7 +1,7 @@
-package io.chicorytrestle.platform;
+package io.chicorytrestle.gateway.document;
 
-/** Signals a document of the store that cannot be understood. */
-final class MalformedDocumentException extends Exception {
+/** Signals a document that cannot be understood. */
+public final class MalformedDocumentException extends Exception {
 
     /** The version of the serialized form. */
     private static final long serialVersionUID = 1L;
@@ -11,7 +11,7 @@
      *
      * @param message What cannot be understood.
      */
-    MalformedDocumentException(String message) {
+    public MalformedDocumentException(String message) {
         super(message);
     }
 
@@ -21,7 +21,7 @@
      * @param message What cannot be understood.
      * @param cause Why.
      */
-    MalformedDocumentException(String message, Throwable cause) {
+    public MalformedDocumentException(String message, Throwable cause) {
         super(message, cause);
     }
 }
--- /dev/null
+++ b/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/document/package-info.java
@@ -0,0 +1,5 @@
+/** Reading JSON documents field by field. */
+@NullMarked
+package io.chicorytrestle.gateway.document;
+
+import org.jspecify.annotations.NullMarked;
--- a/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/exchange/Attempt.java
+++ b/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/exchange/Attempt.java
@@ -270,7 +270,13 @@
         EndpointLink reading = link;
         if (reading != null && exchange.caller().isCongested()) {
             reading.pause();
-            exchange.caller().whenDrained(reading::resume);
+            silence.pause();
+            exchange.caller()
+                    .whenDrained(
+                            () -> {
+                                silence.progressed();
+                                reading.resume();
+                            });
         }
     }
 
--- a/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/exchange/SilenceWatch.java
+++ b/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/exchange/SilenceWatch.java
@@ -24,6 +24,9 @@
     /** Whether part of a stream arrived. */
     private boolean isStarted;
 
+    /** Whether the endpoint is not read, since the caller reads slowly. */
+    private boolean isPaused;
+
     /** Whether the attempt ended. */
     private boolean isOver;
 
@@ -61,6 +64,7 @@
     /** Takes note of part of a stream. */
     void progressed() {
         progressedMillis = context.nowMillis();
+        isPaused = false;
         if (!isStarted) {
             isStarted = true;
             if (route.repeatability().allowsResume()) {
@@ -69,15 +73,19 @@
         }
     }
 
+    /** Expects nothing until more of the stream is read. */
+    void pause() {
+        isPaused = true;
+    }
+
     /** Waits for the next part of a stream. */
     private void awaitMore() {
-        long leftMillis =
-                progressedMillis
-                        + Patience.stallMillis(route.gapTargetMillis())
-                        - context.nowMillis();
         if (isOver) {
             return;
         }
+        long stallMillis = Patience.stallMillis(route.gapTargetMillis());
+        long leftMillis =
+                isPaused ? stallMillis : progressedMillis + stallMillis - context.nowMillis();
         if (leftMillis <= 0) {
             silent.run();
         } else {
--- a/platform/src/main/java/io/chicorytrestle/platform/SettingsFile.java
+++ b/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/settings/SettingsFile.java
@@ -1,19 +1,16 @@
-package io.chicorytrestle.platform;
+package io.chicorytrestle.gateway.settings;
 
 import com.google.common.flogger.FluentLogger;
 import io.activej.reactor.nio.NioReactor;
 import io.chicorytrestle.core.process.SignalWatch;
 import io.chicorytrestle.gateway.operations.LogFields;
-import io.chicorytrestle.gateway.settings.GatewaySettings;
-import io.chicorytrestle.gateway.settings.SettingsFaultException;
-import io.chicorytrestle.gateway.settings.SettingsParser;
 import java.io.IOException;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.function.Consumer;
 
 /** Reads the settings file, and reads it again after a signal or when its content changed. */
-final class SettingsFile {
+public final class SettingsFile {
 
     /** Reports settings that cannot be used. */
     private static final FluentLogger LOGGER = FluentLogger.forEnclosingClass();
@@ -34,7 +31,7 @@
      *
      * @param path The path.
      */
-    SettingsFile(Path path) {
+    public SettingsFile(Path path) {
         this.path = path;
     }
 
@@ -45,7 +42,7 @@
      * @throws IOException If the file cannot be read.
      * @throws SettingsFaultException If a setting cannot be used.
      */
-    GatewaySettings read() throws IOException, SettingsFaultException {
+    public GatewaySettings read() throws IOException, SettingsFaultException {
         text = Files.readString(path);
         return SettingsParser.parse(text);
     }
@@ -56,7 +53,7 @@
      * @param reactor The event loop.
      * @param changes Takes changed settings.
      */
-    void watch(NioReactor reactor, Consumer<GatewaySettings> changes) {
+    public void watch(NioReactor reactor, Consumer<GatewaySettings> changes) {
         SignalWatch.watch(SignalWatch.RELOAD, () -> reactor.execute(() -> look(changes)));
         again(reactor, changes);
     }
