Send every second beat only in large fleets

Each of 139 instances sent and took some 30 beats a second.

Change: beyond 24 known instances those that do not read the store send every second beat; counts of peers stay valid for 4 s in place of 2, and silence is allowed twice as long, so that as many peers are heard. Readers beat as before, since their zone relies on them; fleets of up to 24 do not change.

Ruled out: a smaller fanout (news of a change would take more hops).

--- a/chicorytrestle-core/src/main/java/io/chicorytrestle/core/placement/LoadBook.java
+++ b/chicorytrestle-core/src/main/java/io/chicorytrestle/core/placement/LoadBook.java
@@ -12,6 +12,12 @@
     /** The age in milliseconds beyond which a peer's counts are ignored: two lost beats. */
     private static final long PEER_COUNT_AGE_MILLIS = 2_000;
 
+    /** The peers beyond which each is heard seldom, so that older counts are used as well. */
+    private static final int MANY_PEERS = 24;
+
+    /** The age in milliseconds beyond which a peer's counts are ignored if there are many peers. */
+    private static final long MANY_PEERS_COUNT_AGE_MILLIS = 4_000;
+
     /** The age in milliseconds beyond which a reported load is ignored: about one short request. */
     private static final long REPORT_AGE_MILLIS = 400;
 
@@ -123,7 +129,7 @@
         int counted = 0;
         int heard = 0;
         for (PeerCounts counts : peers.values()) {
-            if (nowMillis - counts.atMillis() <= PEER_COUNT_AGE_MILLIS) {
+            if (nowMillis - counts.atMillis() <= peerCountAgeMillis()) {
                 heard++;
                 counted += counts.counts().getOrDefault(incarnation, 0);
             }
@@ -133,13 +139,22 @@
                 : Math.round((float) counted * expectedPeers / heard);
     }
 
+    /**
+     * Returns the age beyond which a peer's counts are ignored.
+     *
+     * @return The age in milliseconds.
+     */
+    private long peerCountAgeMillis() {
+        return expectedPeers > MANY_PEERS ? MANY_PEERS_COUNT_AGE_MILLIS : PEER_COUNT_AGE_MILLIS;
+    }
+
     /**
      * Forgets what is too old to be used.
      *
      * @param nowMillis The present time in milliseconds.
      */
     public void expire(long nowMillis) {
-        peers.values().removeIf(counts -> nowMillis - counts.atMillis() > PEER_COUNT_AGE_MILLIS);
+        peers.values().removeIf(counts -> nowMillis - counts.atMillis() > peerCountAgeMillis());
         reports.values().removeIf(report -> nowMillis - report.atMillis() > REPORT_AGE_MILLIS);
     }
 
--- a/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/fleet/FleetChannel.java
+++ b/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/fleet/FleetChannel.java
@@ -221,6 +221,10 @@
     public void beat(long nowMillis) {
         members.expire(nowMillis);
         observations.loads().expectPeers(members.size());
+        List<String> targets = members.targets(contact, nowMillis);
+        if (targets.isEmpty()) {
+            return;
+        }
         byte[] message =
                 FleetCodec.encode(
                         new Beat(
@@ -235,7 +239,7 @@
                                 knowledge.leaving(),
                                 observations.crashes().news(nowMillis),
                                 members.sample(nowMillis)));
-        for (String address : members.targets(contact, nowMillis)) {
+        for (String address : targets) {
             send(address, message, nowMillis);
         }
     }
--- a/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/fleet/FleetMembers.java
+++ b/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/fleet/FleetMembers.java
@@ -23,6 +23,12 @@
     /** The instances to which a beat goes in a larger fleet, so that its cost stays the same. */
     static final int FANOUT = 12;
 
+    /**
+     * The beats of which one is sent in a larger fleet, whose instances hear many others at any
+     * time. Readers send all, since their zone relies on them.
+     */
+    private static final int LARGE_FLEET_STRIDE = 2;
+
     /**
      * The silence in milliseconds after which an instance counts as out of reach: two beats at the
      * longest stride. In a larger fleet, in which beats go to a random part, it grows with the
@@ -31,7 +37,7 @@
     static final long FRESH_MILLIS = 2_800;
 
     /** The silence in milliseconds that is added for each multiple of the fanout: some beats. */
-    private static final long FRESH_MILLIS_PER_FANOUT = 1_200;
+    private static final long FRESH_MILLIS_PER_FANOUT = 2_400;
 
     /** The most beats of which one goes to an instance of another zone. */
     private static final int LONGEST_STRIDE = 3;
@@ -146,8 +152,12 @@
      * @return The addresses.
      */
     List<String> targets(StoreContact contact, long nowMillis) {
-        List<String> targets = new ArrayList<>();
         beats++;
+        boolean isRest = members.size() > FULL_FLEET && beats % LARGE_FLEET_STRIDE != 0;
+        if (isRest && contact != StoreContact.READING) {
+            return List.of();
+        }
+        List<String> targets = new ArrayList<>();
         int stride = stride();
         for (Member member : members.values()) {
             boolean isFresh = isFresh(member, nowMillis);
--- a/chicorytrestle-gateway/src/test/java/io/chicorytrestle/gateway/fleet/FleetMembersTest.java
+++ b/chicorytrestle-gateway/src/test/java/io/chicorytrestle/gateway/fleet/FleetMembersTest.java
@@ -44,6 +44,7 @@
             members.heard(beat("10.0.1." + number + ":9", "a", false, List.of()), 0);
         }
 
+        assertThat(members.targets(StoreContact.FOLLOWING, 1), is(empty()));
         assertThat(members.targets(StoreContact.FOLLOWING, 1), hasSize(FleetMembers.FANOUT));
     }
 
