Call the quarantine by one name; let it end before its memory does

Found in reading: fence names the fencing of orders in this project, and the longest quarantine outlived the memory of the crashes that caused it (32 min against 10). It doubles three times at the most now, to eight minutes.

--- a/chicorytrestle-core/src/main/java/io/chicorytrestle/core/poison/CrashBook.java
+++ b/chicorytrestle-core/src/main/java/io/chicorytrestle/core/poison/CrashBook.java
@@ -8,24 +8,24 @@
 import java.util.Set;
 
 /**
- * Fences requests under which one endpoint after the other crashes. It answers a caller that sends
- * a request again and again, at any instance, although each endpoint that runs it crashes. A fence
- * ends after a time that doubles with each further crash, so that one run can prove it wrong; a
- * whole run takes back all that was held against a request. It is confined to one thread.
+ * Quarantines requests under which one endpoint after the other crashes. It answers a caller that
+ * sends a request again and again, at any instance, although each endpoint that runs it crashes. A
+ * quarantine ends after a time that doubles with each further crash, so that one run can prove it
+ * wrong; a whole run takes back all that was held against a request. It is confined to one thread.
  */
 public final class CrashBook {
 
     /**
-     * The crashes of different endpoints after which a request is fenced. An outage may break a
-     * sound request and the one repetition of it.
+     * The crashes of different endpoints after which a request is quarantined. An outage may break
+     * a sound request and the one repetition of it.
      */
-    private static final int FENCED_CRASHES = 3;
+    private static final int QUARANTINE_CRASHES = 3;
 
-    /** The time of the first fence in milliseconds: an endpoint is back after some seconds. */
-    private static final long FIRST_FENCE_MILLIS = 60_000;
+    /** The time of the first quarantine in milliseconds: an endpoint is back after some seconds. */
+    private static final long FIRST_QUARANTINE_MILLIS = 60_000;
 
-    /** The most doublings of the first fence, which leads to half an hour. */
-    private static final int MAXIMUM_DOUBLINGS = 5;
+    /** The most doublings of the first quarantine, which lead to eight minutes. */
+    private static final int MAXIMUM_DOUBLINGS = 3;
 
     /** The time in milliseconds for which a crash is held against a request. */
     private static final long MEMORY_MILLIS = 600_000;
@@ -102,15 +102,15 @@
      *
      * @param fingerprint The hash of the request's content and workspace.
      * @param nowMillis The present time in milliseconds.
-     * @return {@code true} if the request is fenced.
+     * @return {@code true} if the request is quarantined.
      */
-    public boolean isFenced(String fingerprint, long nowMillis) {
+    public boolean isQuarantined(String fingerprint, long nowMillis) {
         Entry entry = entries.get(fingerprint);
-        if (entry == null || entry.incarnations.size() < FENCED_CRASHES) {
+        if (entry == null || entry.incarnations.size() < QUARANTINE_CRASHES) {
             return false;
         }
-        int doublings = Math.min(MAXIMUM_DOUBLINGS, entry.incarnations.size() - FENCED_CRASHES);
-        return nowMillis - entry.changedMillis < FIRST_FENCE_MILLIS << doublings;
+        int doublings = Math.min(MAXIMUM_DOUBLINGS, entry.incarnations.size() - QUARANTINE_CRASHES);
+        return nowMillis - entry.changedMillis < FIRST_QUARANTINE_MILLIS << doublings;
     }
 
     /**
--- a/chicorytrestle-core/src/test/java/io/chicorytrestle/core/poison/CrashBookTest.java
+++ b/chicorytrestle-core/src/test/java/io/chicorytrestle/core/poison/CrashBookTest.java
@@ -15,54 +15,54 @@
     private final CrashBook book = new CrashBook();
 
     @Test
-    void testFenceWhenThreeEndpointsCrashed() {
+    void testQuarantineWhenThreeEndpointsCrashed() {
         book.crashed("request", "e1", 0);
         book.crashed("request", "e2", 10);
-        assertThat(book.isFenced("request", 20), is(false));
+        assertThat(book.isQuarantined("request", 20), is(false));
         book.crashed("request", "e3", 20);
-        assertThat(book.isFenced("request", 30), is(true));
+        assertThat(book.isQuarantined("request", 30), is(true));
     }
 
     @Test
-    void testFenceWhenOneEndpointBreaksRepeatedly() {
+    void testQuarantineWhenOneEndpointBreaksRepeatedly() {
         book.crashed("request", "e1", 0);
         book.crashed("request", "e1", 10);
         book.crashed("request", "e1", 20);
-        assertThat(book.isFenced("request", 30), is(false));
+        assertThat(book.isQuarantined("request", 30), is(false));
     }
 
     @Test
-    void testFenceWhenRequestRanWholeBetweenCrashes() {
+    void testQuarantineWhenRequestRanWholeBetweenCrashes() {
         book.crashed("request", "e1", 0);
         book.crashed("request", "e2", 10);
         book.ranWhole("request", 20);
         book.crashed("request", "e3", 30);
-        assertThat(book.isFenced("request", 40), is(false));
+        assertThat(book.isQuarantined("request", 40), is(false));
     }
 
     @Test
-    void testFenceWhenItEndedAndTheNextRunCrashesToo() {
-        fence(0);
-        assertThat(book.isFenced("request", 60_002), is(false));
+    void testQuarantineWhenItEndedAndTheNextRunCrashesToo() {
+        quarantine(0);
+        assertThat(book.isQuarantined("request", 60_002), is(false));
         book.crashed("request", "e4", 60_003);
-        assertThat(book.isFenced("request", 60_003 + 119_000), is(true));
-        assertThat(book.isFenced("request", 60_003 + 120_000), is(false));
+        assertThat(book.isQuarantined("request", 60_003 + 119_000), is(true));
+        assertThat(book.isQuarantined("request", 60_003 + 120_000), is(false));
     }
 
     @Test
-    void testFenceWhenCrashesAreToldByDifferentInstances() {
+    void testQuarantineWhenCrashesAreToldByDifferentInstances() {
         book.told(new CrashNotice("request", List.of("e1")), 0);
         book.told(new CrashNotice("request", List.of("e2", "e1")), 0);
         book.told(new CrashNotice("request", List.of("e3")), 0);
-        assertThat(book.isFenced("request", 1), is(true));
+        assertThat(book.isQuarantined("request", 1), is(true));
     }
 
     @Test
-    void testFenceWhenOldNoticeFollowsTheNewsOfAWholeRun() {
+    void testQuarantineWhenOldNoticeFollowsTheNewsOfAWholeRun() {
         book.crashed("request", "e1", 0);
         book.told(new CrashNotice("request", List.of()), 10);
         book.told(new CrashNotice("request", List.of("e1", "e2", "e3")), 20);
-        assertThat(book.isFenced("request", 30), is(false));
+        assertThat(book.isQuarantined("request", 30), is(false));
     }
 
     @Test
@@ -70,7 +70,7 @@
         for (int index = 0; index < 100; index++) {
             book.crashed("sound " + index, "e1", 0);
         }
-        fence(0);
+        quarantine(0);
         List<CrashNotice> news = book.news(100);
         assertThat(news, hasSize(8));
         assertThat(news.get(0).fingerprint(), equalTo("request"));
@@ -79,7 +79,7 @@
 
     @Test
     void testExpireWhenOld() {
-        fence(0);
+        quarantine(0);
         book.expire(601_000);
         assertThat(book.isEmpty(), is(true));
     }
@@ -94,7 +94,7 @@
         int crashes = 0;
         for (int nowMillis = 0; nowMillis < 40_000; nowMillis += 500) {
             CrashBook reached = fleet.get(nowMillis / 500 % fleet.size());
-            if (!reached.isFenced("request", nowMillis)) {
+            if (!reached.isQuarantined("request", nowMillis)) {
                 reached.crashed("request", "e" + crashes, nowMillis);
                 crashes++;
             }
@@ -107,7 +107,7 @@
         assertThat(crashes, lessThanOrEqualTo(3));
     }
 
-    private void fence(long nowMillis) {
+    private void quarantine(long nowMillis) {
         book.crashed("request", "e1", nowMillis);
         book.crashed("request", "e2", nowMillis);
         book.crashed("request", "e3", nowMillis);
--- a/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/exchange/CrashFence.java
+++ b/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/exchange/CrashSuspicion.java
@@ -15,7 +15,7 @@
  * Tells what is held against one request. Its content is hashed only once something is held against
  * any request. It is confined to the event loop's thread.
  */
-final class CrashFence {
+final class CrashSuspicion {
 
     /** The bytes of the hash that are kept, too many to find an equal one of another workspace. */
     private static final int HASH_BYTES = 12;
@@ -36,14 +36,14 @@
     private @Nullable String hash;
 
     /**
-     * Creates a new fence.
+     * Creates a new suspicion.
      *
      * @param book What is held against requests.
      * @param workspace The workspace, if any.
      * @param head The head as the caller sent it.
      * @param body The body.
      */
-    CrashFence(CrashBook book, Optional<Workspace> workspace, HttpRequest head, byte[] body) {
+    CrashSuspicion(CrashBook book, Optional<Workspace> workspace, HttpRequest head, byte[] body) {
         this.book = book;
         this.workspace = workspace;
         this.head = head;
@@ -56,8 +56,8 @@
      * @param nowMillis The present time in milliseconds.
      * @return {@code true} if the request must not run now.
      */
-    boolean isClosed(long nowMillis) {
-        return !book.isEmpty() && book.isFenced(fingerprint(), nowMillis);
+    boolean isQuarantined(long nowMillis) {
+        return !book.isEmpty() && book.isQuarantined(fingerprint(), nowMillis);
     }
 
     /**
--- a/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/exchange/Exchange.java
+++ b/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/exchange/Exchange.java
@@ -196,7 +196,7 @@
      * @param from The attempt.
      */
     void streamCompleted(Attempt from) {
-        routed.fence().ranWhole(context.nowMillis());
+        routed.suspicion().ranWhole(context.nowMillis());
         finish().streamCompleted();
     }
 
@@ -217,7 +217,7 @@
         if (relay.isStarted() || isGivenUp) {
             step(from, "endpoint answered " + head.status());
         } else {
-            routed.fence().ranWhole(context.nowMillis());
+            routed.suspicion().ranWhole(context.nowMillis());
             finish().answered(head, body);
         }
     }
@@ -229,7 +229,8 @@
      * @param cause What happened.
      */
     void connectionLost(Attempt from, String cause) {
-        int crashes = routed.fence().crashed(from.endpoint().incarnation(), context.nowMillis());
+        int crashes =
+                routed.suspicion().crashed(from.endpoint().incarnation(), context.nowMillis());
         if (crashes - progress.sends() >= SUSPICIOUS_CRASHES) {
             progress.suspect();
         }
--- a/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/exchange/RequestHandler.java
+++ b/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/exchange/RequestHandler.java
@@ -204,8 +204,8 @@
                 reject(request.id(), caller, HttpResponseStatus.UNAUTHORIZED, "key is unknown");
                 return;
             }
-            CrashFence fence = new CrashFence(context.crashes(), workspace, head, body);
-            if (fence.isClosed(context.nowMillis())) {
+            CrashSuspicion suspicion = new CrashSuspicion(context.crashes(), workspace, head, body);
+            if (suspicion.isQuarantined(context.nowMillis())) {
                 refuse(request, caller, RefusalReason.QUARANTINED);
                 return;
             }
@@ -216,7 +216,7 @@
                             route.get().service(RequestDraw.of(request.id())),
                             new RequestWriter(
                                     context.dialect(), workspace, route.get(), head, body),
-                            fence);
+                            suspicion);
             Exchange begun = new Exchange(context, routed, caller, arrivedMillis);
             exchange = Optional.of(begun);
             begun.start();
--- a/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/exchange/RoutedRequest.java
+++ b/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/exchange/RoutedRequest.java
@@ -12,14 +12,14 @@
  * @param route The route.
  * @param service The service of the route that serves it.
  * @param writer Builds requests to endpoints.
- * @param fence Tells what is held against the request.
+ * @param suspicion Tells what is held against the request.
  */
 record RoutedRequest(
         GatewayRequest request,
         Route route,
         String service,
         RequestWriter writer,
-        CrashFence fence) {
+        CrashSuspicion suspicion) {
 
     /**
      * Returns the prompt by which an endpoint is chosen.
