Place requests without hashing and summing anew, and tell peers which endpoint read a prompt part

Cause, first: a placement ranked all endpoints up to four times, hashing each name in every comparison, and summed the counts of all peers for each endpoint. With 42 endpoints and 95 peers that is thousands of steps a request, and an instance whose code is not compiled yet falls seconds behind after a restart. Change: hashes of names are kept and combined by one mixing step, only the first endpoint is determined where that is enough, and the counts of peers are kept as running sums.

Change: heartbeats name the parts that endpoints read lately; a holder must still be listed, and one of the own zone is preferred.

--- a/chicorytrestle-core/src/main/java/io/chicorytrestle/core/placement/EndpointPicker.java
+++ b/chicorytrestle-core/src/main/java/io/chicorytrestle/core/placement/EndpointPicker.java
@@ -1,6 +1,8 @@
 package io.chicorytrestle.core.placement;
 
-import java.util.Comparator;
+import java.util.ArrayList;
+import java.util.Collections;
+import java.util.IdentityHashMap;
 import java.util.List;
 import java.util.Optional;
 import java.util.Set;
@@ -42,6 +44,9 @@
     /** Determines which zones are unreachable. */
     private final ZoneReachability zoneReachability;
 
+    /** Determines the homes of prompts. */
+    private final EndpointRanking ranking;
+
     /** Finds the endpoints from which cached prompt parts can be fetched. */
     private final FetchSourceFinder fetchSources;
 
@@ -67,7 +72,8 @@
         this.health = health;
         this.outcomeTracker = outcomeTracker;
         this.zoneReachability = zoneReachability;
-        fetchSources = new FetchSourceFinder(promptPartTracker, settings.zone());
+        ranking = new EndpointRanking(settings.zone());
+        fetchSources = new FetchSourceFinder(promptPartTracker, ranking);
     }
 
     /**
@@ -89,9 +95,7 @@
             long nowMillis) {
         List<ServingEndpoint> ready = view.endpointsOf(service);
         List<ServingEndpoint> allowed =
-                ready.stream()
-                        .filter(endpoint -> !excluded.contains(endpoint.incarnation()))
-                        .toList();
+                filter(ready, endpoint -> !excluded.contains(endpoint.incarnation()));
         if (allowed.isEmpty()) {
             return Optional.empty();
         }
@@ -121,21 +125,50 @@
             List<ServingEndpoint> healthy,
             Prompt prompt,
             long nowMillis) {
-        List<ServingEndpoint> ranked = EndpointRanking.rank(allowed, prompt, settings.zone());
         double bound = loadBound(healthy, nowMillis);
-        for (ServingEndpoint endpoint : ranked) {
-            double load = loadTracker.estimate(endpoint.incarnation(), nowMillis);
-            if (healthy.contains(endpoint) && load + 1 <= Math.min(bound, endpoint.slots())) {
-                PlacementReason reason =
-                        endpoint.equals(ranked.get(0))
-                                ? PlacementReason.HOME
-                                : PlacementReason.SPILL;
-                return new Placement(endpoint, reason, Optional.empty(), load);
+        ServingEndpoint home = ranking.home(allowed, prompt).orElseThrow();
+        Set<ServingEndpoint> candidates = Collections.newSetFromMap(new IdentityHashMap<>());
+        candidates.addAll(healthy);
+        if (candidates.contains(home) && hasCapacity(home, bound, nowMillis)) {
+            return placement(home, PlacementReason.HOME, nowMillis);
+        }
+        for (ServingEndpoint endpoint : ranking.rank(allowed, prompt)) {
+            if (candidates.contains(endpoint) && hasCapacity(endpoint, bound, nowMillis)) {
+                return placement(endpoint, PlacementReason.SPILL, nowMillis);
             }
         }
         return pickLeastLoaded(healthy, nowMillis);
     }
 
+    /**
+     * Returns {@code true} if an endpoint may carry another request.
+     *
+     * @param endpoint The endpoint.
+     * @param bound The maximum number of requests at an endpoint of the service.
+     * @param nowMillis The current time in milliseconds.
+     * @return {@code true} if neither the bound nor the endpoint's slots are exceeded.
+     */
+    private boolean hasCapacity(ServingEndpoint endpoint, double bound, long nowMillis) {
+        double load = loadTracker.estimate(endpoint.incarnation(), nowMillis);
+        return load + 1 <= Math.min(bound, endpoint.slots());
+    }
+
+    /**
+     * Returns a placement without an endpoint to fetch from.
+     *
+     * @param endpoint The chosen endpoint.
+     * @param reason Why it was chosen.
+     * @param nowMillis The current time in milliseconds.
+     * @return The placement.
+     */
+    private Placement placement(ServingEndpoint endpoint, PlacementReason reason, long nowMillis) {
+        return new Placement(
+                endpoint,
+                reason,
+                Optional.empty(),
+                loadTracker.estimate(endpoint.incarnation(), nowMillis));
+    }
+
     /**
      * Returns the maximum number of requests that an endpoint may carry: a multiple of the mean
      * load plus a slack.
@@ -145,12 +178,11 @@
      * @return The bound in requests.
      */
     private double loadBound(List<ServingEndpoint> endpoints, long nowMillis) {
-        double mean =
-                endpoints.stream()
-                        .mapToInt(
-                                endpoint -> loadTracker.estimate(endpoint.incarnation(), nowMillis))
-                        .average()
-                        .orElse(0);
+        int sum = 0;
+        for (ServingEndpoint endpoint : endpoints) {
+            sum += loadTracker.estimate(endpoint.incarnation(), nowMillis);
+        }
+        double mean = endpoints.isEmpty() ? 0 : (double) sum / endpoints.size();
         return settings.loadMultiple() * mean + settings.loadSlack();
     }
 
@@ -162,17 +194,16 @@
      * @return The placement.
      */
     private Placement pickLeastLoaded(List<ServingEndpoint> endpoints, long nowMillis) {
-        ServingEndpoint best =
-                endpoints.stream()
-                        .min(
-                                Comparator.comparingDouble(
-                                        endpoint -> relativeLoad(endpoint, nowMillis)))
-                        .orElseThrow();
-        return new Placement(
-                best,
-                PlacementReason.LEAST_LOADED,
-                Optional.empty(),
-                loadTracker.estimate(best.incarnation(), nowMillis));
+        ServingEndpoint best = endpoints.get(0);
+        double bestLoad = Double.POSITIVE_INFINITY;
+        for (ServingEndpoint endpoint : endpoints) {
+            double load = relativeLoad(endpoint, nowMillis);
+            if (load < bestLoad) {
+                best = endpoint;
+                bestLoad = load;
+            }
+        }
+        return placement(best, PlacementReason.LEAST_LOADED, nowMillis);
     }
 
     /**
@@ -206,14 +237,13 @@
                 filterUnlessEmpty(
                         reachable,
                         endpoint -> !health.isAvoided(endpoint.incarnation(), nowMillis));
-        double best =
-                connected.stream()
-                        .mapToDouble(endpoint -> failureRate(endpoint, nowMillis))
-                        .min()
-                        .orElse(0);
+        double lowest = Double.POSITIVE_INFINITY;
+        for (ServingEndpoint endpoint : connected) {
+            lowest = Math.min(lowest, failureRate(endpoint, nowMillis));
+        }
+        double maximumRate = lowest + FAILURE_RATE_SLACK;
         return filterUnlessEmpty(
-                connected,
-                endpoint -> failureRate(endpoint, nowMillis) <= best + FAILURE_RATE_SLACK);
+                connected, endpoint -> failureRate(endpoint, nowMillis) <= maximumRate);
     }
 
     /**
@@ -236,7 +266,25 @@
      */
     private static List<ServingEndpoint> filterUnlessEmpty(
             List<ServingEndpoint> endpoints, Predicate<ServingEndpoint> condition) {
-        List<ServingEndpoint> matching = endpoints.stream().filter(condition).toList();
+        List<ServingEndpoint> matching = filter(endpoints, condition);
         return matching.isEmpty() ? endpoints : matching;
     }
+
+    /**
+     * Returns the endpoints that meet a condition.
+     *
+     * @param endpoints The endpoints.
+     * @param condition The condition.
+     * @return The filtered list.
+     */
+    private static List<ServingEndpoint> filter(
+            List<ServingEndpoint> endpoints, Predicate<ServingEndpoint> condition) {
+        List<ServingEndpoint> matching = new ArrayList<>(endpoints.size());
+        for (ServingEndpoint endpoint : endpoints) {
+            if (condition.test(endpoint)) {
+                matching.add(endpoint);
+            }
+        }
+        return matching;
+    }
 }
--- a/chicorytrestle-core/src/main/java/io/chicorytrestle/core/placement/EndpointRanking.java
+++ b/chicorytrestle-core/src/main/java/io/chicorytrestle/core/placement/EndpointRanking.java
@@ -1,12 +1,18 @@
 package io.chicorytrestle.core.placement;
 
-import io.chicorytrestle.core.routing.RendezvousOrder;
+import com.google.common.hash.Hashing;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
 import java.util.Comparator;
+import java.util.HashMap;
 import java.util.List;
+import java.util.Map;
+import java.util.Optional;
 
 /**
  * Ranks endpoints for a prompt by rendezvous hashing, so that all instances of a zone get the same
- * order without exchanging messages.
+ * order without exchanging messages. The hashes of the endpoints' identifiers are computed once.
+ * This class is not thread-safe: it is confined to one thread.
  */
 final class EndpointRanking {
 
@@ -18,42 +24,112 @@
      */
     private static final int MAXIMUM_SHARED_TOKENS_PER_OUTPUT_TOKEN = 8;
 
-    /** Prevents instantiation. */
-    private EndpointRanking() {}
+    /** The number of cached hashes from which the cache is emptied, since most are of the past. */
+    private static final int MAXIMUM_CACHED_HASHES = 8_192;
+
+    /** The number of bits by which MurmurHash3 shifts a number to mix it. */
+    private static final int MIX_SHIFT_BITS = 33;
+
+    /** The first factor with which MurmurHash3 mixes a number. */
+    private static final long FIRST_MIX_FACTOR = 0xff51afd7ed558ccdL;
+
+    /** The second factor with which MurmurHash3 mixes a number. */
+    private static final long SECOND_MIX_FACTOR = 0xc4ceb9fe1a85ec53L;
+
+    /** The zone of this instance. */
+    private final String zone;
+
+    /** The hashes of endpoints' identifiers. */
+    private final Map<String, Long> identifierHashes = new HashMap<>();
 
     /**
-     * Ranks endpoints for a prompt. If the chat has a home in every zone, the endpoints of the own
-     * zone come first.
+     * Creates a ranking.
+     *
+     * @param zone The zone of this instance.
+     */
+    EndpointRanking(String zone) {
+        this.zone = zone;
+    }
+
+    /**
+     * Returns the endpoint that {@link #rank} would return first.
      *
      * @param endpoints The endpoints.
      * @param prompt The prompt, which names at least one part.
-     * @param zone The zone of this instance.
-     * @return The endpoints, the home first.
+     * @return The home, or empty if there are no endpoints.
      */
-    static List<ServingEndpoint> rank(List<ServingEndpoint> endpoints, Prompt prompt, String zone) {
-        List<ServingEndpoint> ranked = rank(endpoints, prompt.lastSharedPart().orElseThrow());
-        if (!hasHomePerZone(prompt)) {
-            return ranked;
+    Optional<ServingEndpoint> home(List<ServingEndpoint> endpoints, Prompt prompt) {
+        PromptPart part = prompt.lastSharedPart().orElseThrow();
+        if (hasHomePerZone(prompt)) {
+            Optional<ServingEndpoint> zoneHome = home(endpoints, part, true);
+            if (zoneHome.isPresent()) {
+                return zoneHome;
+            }
         }
-        return ranked.stream()
-                .sorted(Comparator.comparing(endpoint -> !endpoint.zone().equals(zone)))
-                .toList();
+        return home(endpoints, part);
+    }
+
+    /**
+     * Returns the first endpoint for a prompt part, without regard to zones.
+     *
+     * @param endpoints The endpoints.
+     * @param part The prompt part.
+     * @return The home, or empty if there are no endpoints.
+     */
+    Optional<ServingEndpoint> home(List<ServingEndpoint> endpoints, PromptPart part) {
+        return home(endpoints, part, false);
     }
 
     /**
-     * Ranks endpoints for a prompt part, without regard to zones.
+     * Returns the first endpoint for a prompt part.
      *
      * @param endpoints The endpoints.
      * @param part The prompt part.
+     * @param isOwnZoneOnly Whether the endpoints of other zones are left out.
+     * @return The home, or empty if no endpoint is considered.
+     */
+    private Optional<ServingEndpoint> home(
+            List<ServingEndpoint> endpoints, PromptPart part, boolean isOwnZoneOnly) {
+        long partHash = hash(part.id());
+        ServingEndpoint best = null;
+        long bestScore = 0;
+        for (ServingEndpoint endpoint : endpoints) {
+            if (isOwnZoneOnly && !endpoint.zone().equals(zone)) {
+                continue;
+            }
+            long score = score(partHash, endpoint);
+            if (best == null
+                    || score < bestScore
+                    || (score == bestScore && endpoint.id().compareTo(best.id()) < 0)) {
+                best = endpoint;
+                bestScore = score;
+            }
+        }
+        return Optional.ofNullable(best);
+    }
+
+    /**
+     * Ranks endpoints for a prompt. If the chat has a home in every zone, the endpoints of the own
+     * zone come first.
+     *
+     * @param endpoints The endpoints.
+     * @param prompt The prompt, which names at least one part.
      * @return The endpoints, the home first.
      */
-    static List<ServingEndpoint> rank(List<ServingEndpoint> endpoints, PromptPart part) {
-        List<String> ids =
-                RendezvousOrder.order(
-                        part.id(), endpoints.stream().map(ServingEndpoint::id).toList());
-        return endpoints.stream()
-                .sorted(Comparator.comparingInt(endpoint -> ids.indexOf(endpoint.id())))
-                .toList();
+    List<ServingEndpoint> rank(List<ServingEndpoint> endpoints, Prompt prompt) {
+        long partHash = hash(prompt.lastSharedPart().orElseThrow().id());
+        boolean prefersOwnZone = hasHomePerZone(prompt);
+        List<ScoredEndpoint> scored = new ArrayList<>(endpoints.size());
+        for (ServingEndpoint endpoint : endpoints) {
+            boolean isPostponed = prefersOwnZone && !endpoint.zone().equals(zone);
+            scored.add(new ScoredEndpoint(endpoint, isPostponed, score(partHash, endpoint)));
+        }
+        scored.sort(ScoredEndpoint.ORDER);
+        List<ServingEndpoint> ranked = new ArrayList<>(scored.size());
+        for (ScoredEndpoint endpoint : scored) {
+            ranked.add(endpoint.endpoint());
+        }
+        return ranked;
     }
 
     /**
@@ -67,4 +143,62 @@
         long shared = prompt.sharedParts().stream().mapToLong(PromptPart::tokens).sum();
         return shared <= (long) MAXIMUM_SHARED_TOKENS_PER_OUTPUT_TOKEN * prompt.outputTokens();
     }
+
+    /**
+     * Combines the hashes of a prompt part and an endpoint. Endpoints with a smaller score come
+     * first.
+     *
+     * @param partHash The hash of the prompt part.
+     * @param endpoint The endpoint.
+     * @return The score, uniformly distributed.
+     */
+    private long score(long partHash, ServingEndpoint endpoint) {
+        Long cached = identifierHashes.get(endpoint.id());
+        if (cached == null) {
+            if (identifierHashes.size() >= MAXIMUM_CACHED_HASHES) {
+                identifierHashes.clear();
+            }
+            cached = hash(endpoint.id());
+            identifierHashes.put(endpoint.id(), cached);
+        }
+        return mix(partHash ^ mix(cached));
+    }
+
+    /**
+     * Hashes a text.
+     *
+     * @param text The text.
+     * @return The hash.
+     */
+    private static long hash(String text) {
+        return Hashing.murmur3_128().hashString(text, StandardCharsets.UTF_8).asLong();
+    }
+
+    /**
+     * Spreads the bits of a number over all others, as the finalizer of MurmurHash3 does.
+     *
+     * @param number The number.
+     * @return The mixed number.
+     */
+    private static long mix(long number) {
+        long mixed = (number ^ (number >>> MIX_SHIFT_BITS)) * FIRST_MIX_FACTOR;
+        mixed = (mixed ^ (mixed >>> MIX_SHIFT_BITS)) * SECOND_MIX_FACTOR;
+        return mixed ^ (mixed >>> MIX_SHIFT_BITS);
+    }
+
+    /**
+     * Holds an endpoint with its score for a prompt.
+     *
+     * @param endpoint The endpoint.
+     * @param isPostponed Whether the endpoint comes after all that are not postponed.
+     * @param score The score.
+     */
+    private record ScoredEndpoint(ServingEndpoint endpoint, boolean isPostponed, long score) {
+
+        /** The order of preference. */
+        private static final Comparator<ScoredEndpoint> ORDER =
+                Comparator.comparing(ScoredEndpoint::isPostponed)
+                        .thenComparingLong(ScoredEndpoint::score)
+                        .thenComparing(scored -> scored.endpoint().id());
+    }
 }
--- a/chicorytrestle-core/src/main/java/io/chicorytrestle/core/placement/FetchSourceFinder.java
+++ b/chicorytrestle-core/src/main/java/io/chicorytrestle/core/placement/FetchSourceFinder.java
@@ -14,22 +14,22 @@
     /** Records which endpoint processed which prompt part last. */
     private final PromptPartTracker promptPartTracker;
 
-    /** The zone of this instance. */
-    private final String zone;
+    /** Determines the homes of prompts. */
+    private final EndpointRanking ranking;
 
     /**
      * Creates a new finder.
      *
      * @param promptPartTracker Records which endpoint processed which prompt part last.
-     * @param zone The zone of this instance.
+     * @param ranking Determines the homes of prompts.
      */
-    FetchSourceFinder(PromptPartTracker promptPartTracker, String zone) {
+    FetchSourceFinder(PromptPartTracker promptPartTracker, EndpointRanking ranking) {
         this.promptPartTracker = promptPartTracker;
-        this.zone = zone;
+        this.ranking = ranking;
     }
 
     /**
-     * Finds the endpoint to fetch from. Tries the previous home, the last known holder, the home
+     * Finds the endpoint to fetch from. Tries the known holders, the previous home, the home
      * without regard to zones and the home of the first part, in this order.
      *
      * @param view The known endpoints.
@@ -46,8 +46,11 @@
             Prompt prompt,
             ServingEndpoint chosen,
             long nowMillis) {
-        return previousHome(view, ready, prompt, chosen)
-                .or(() -> promptPartTracker.findOtherHolder(prompt, chosen, nowMillis))
+        List<ServingEndpoint> sources = new ArrayList<>(ready);
+        sources.addAll(view.leaving());
+        return promptPartTracker
+                .findOtherHolder(prompt, chosen, sources, nowMillis)
+                .or(() -> previousHome(view, ready, prompt, chosen))
                 .or(() -> zoneIndependentHome(ready, prompt, chosen))
                 .or(() -> firstPartHome(ready, prompt, chosen));
     }
@@ -74,7 +77,7 @@
                 previous.add(endpoint);
             }
         }
-        return firstUnlessChosen(EndpointRanking.rank(previous, prompt, zone), chosen);
+        return addressUnlessChosen(ranking.home(previous, prompt), chosen);
     }
 
     /**
@@ -86,10 +89,10 @@
      * @param chosen The endpoint that will process the prompt.
      * @return The address, or empty if the home is the chosen endpoint.
      */
-    private static Optional<String> zoneIndependentHome(
+    private Optional<String> zoneIndependentHome(
             List<ServingEndpoint> ready, Prompt prompt, ServingEndpoint chosen) {
         return prompt.lastSharedPart()
-                .flatMap(part -> firstUnlessChosen(EndpointRanking.rank(ready, part), chosen));
+                .flatMap(part -> addressUnlessChosen(ranking.home(ready, part), chosen));
     }
 
     /**
@@ -100,26 +103,23 @@
      * @param chosen The endpoint that will process the prompt.
      * @return The address, or empty if it is the chosen endpoint.
      */
-    private static Optional<String> firstPartHome(
+    private Optional<String> firstPartHome(
             List<ServingEndpoint> ready, Prompt prompt, ServingEndpoint chosen) {
         return prompt.sharedParts().isEmpty()
                 ? Optional.empty()
-                : firstUnlessChosen(
-                        EndpointRanking.rank(ready, prompt.sharedParts().get(0)), chosen);
+                : addressUnlessChosen(ranking.home(ready, prompt.sharedParts().get(0)), chosen);
     }
 
     /**
-     * Returns the address of the first endpoint of a ranking unless it is the chosen one.
+     * Returns the address of a home unless it is the chosen endpoint.
      *
-     * @param ranked The endpoints, the home first.
+     * @param home The home, or empty if there is none.
      * @param chosen The endpoint that will process the prompt.
      * @return The address, or empty if there is none or it is the chosen endpoint.
      */
-    private static Optional<String> firstUnlessChosen(
-            List<ServingEndpoint> ranked, ServingEndpoint chosen) {
-        return ranked.stream()
-                .findFirst()
-                .filter(home -> !home.incarnation().equals(chosen.incarnation()))
+    private static Optional<String> addressUnlessChosen(
+            Optional<ServingEndpoint> home, ServingEndpoint chosen) {
+        return home.filter(endpoint -> !endpoint.incarnation().equals(chosen.incarnation()))
                 .map(ServingEndpoint::address);
     }
 }
--- a/chicorytrestle-core/src/main/java/io/chicorytrestle/core/placement/LoadTracker.java
+++ b/chicorytrestle-core/src/main/java/io/chicorytrestle/core/placement/LoadTracker.java
@@ -1,6 +1,8 @@
 package io.chicorytrestle.core.placement;
 
 import java.util.HashMap;
+import java.util.Iterator;
+import java.util.LinkedHashMap;
 import java.util.Map;
 
 /**
@@ -31,8 +33,14 @@
     /** The last reported load by incarnation of the endpoint. */
     private final Map<String, ReportedLoad> reportedLoads = new HashMap<>();
 
-    /** The last counts of each peer by its name. */
-    private final Map<String, PeerCounts> peerCounts = new HashMap<>();
+    /** The current counts of each peer by its name, the earliest received first. */
+    private final Map<String, PeerCounts> peerCounts = new LinkedHashMap<>();
+
+    /** The sums of the current counts of all peers by incarnation of the endpoint. */
+    private final Map<String, Integer> peerTotals = new HashMap<>();
+
+    /** The time in milliseconds at which the earliest of the current peer counts were received. */
+    private long earliestCountsMillis = Long.MAX_VALUE;
 
     /** The number of peers in the fleet, whether or not their counts arrived. */
     private int expectedPeers;
@@ -84,7 +92,60 @@
      * @param nowMillis The current time in milliseconds.
      */
     public void recordPeerCounts(String peer, Map<String, Integer> counts, long nowMillis) {
-        peerCounts.put(peer, new PeerCounts(Map.copyOf(counts), nowMillis));
+        PeerCounts previous = peerCounts.remove(peer);
+        if (previous != null) {
+            subtractFromTotals(previous);
+        }
+        PeerCounts current = new PeerCounts(Map.copyOf(counts), nowMillis);
+        peerCounts.put(peer, current);
+        current.counts()
+                .forEach(
+                        (incarnation, count) -> peerTotals.merge(incarnation, count, Integer::sum));
+        updateEarliestCounts();
+    }
+
+    /**
+     * Subtracts counts that are replaced or too old from the totals.
+     *
+     * @param removed The counts.
+     */
+    private void subtractFromTotals(PeerCounts removed) {
+        removed.counts()
+                .forEach(
+                        (incarnation, count) ->
+                                peerTotals.computeIfPresent(
+                                        incarnation,
+                                        (ignored, total) -> total <= count ? null : total - count));
+    }
+
+    /** Records when the earliest of the current counts were received. */
+    private void updateEarliestCounts() {
+        earliestCountsMillis =
+                peerCounts.isEmpty()
+                        ? Long.MAX_VALUE
+                        : peerCounts.values().iterator().next().receivedMillis();
+    }
+
+    /**
+     * Removes the counts of peers that are too old to be used.
+     *
+     * @param nowMillis The current time in milliseconds.
+     */
+    private void removeExpiredCounts(long nowMillis) {
+        long maximumAgeMillis = maximumPeerCountAgeMillis();
+        if (earliestCountsMillis >= nowMillis - maximumAgeMillis) {
+            return;
+        }
+        Iterator<PeerCounts> counts = peerCounts.values().iterator();
+        while (counts.hasNext()) {
+            PeerCounts earliest = counts.next();
+            if (earliest.receivedMillis() >= nowMillis - maximumAgeMillis) {
+                break;
+            }
+            counts.remove();
+            subtractFromTotals(earliest);
+        }
+        updateEarliestCounts();
     }
 
     /**
@@ -133,14 +194,9 @@
      * @return The estimated number of requests.
      */
     private int estimatePeerRequests(String incarnation, long nowMillis) {
-        int countedRequests = 0;
-        int currentPeers = 0;
-        for (PeerCounts counts : peerCounts.values()) {
-            if (nowMillis - counts.receivedMillis() <= maximumPeerCountAgeMillis()) {
-                currentPeers++;
-                countedRequests += counts.counts().getOrDefault(incarnation, 0);
-            }
-        }
+        removeExpiredCounts(nowMillis);
+        int countedRequests = peerTotals.getOrDefault(incarnation, 0);
+        int currentPeers = peerCounts.size();
         return currentPeers == 0 || currentPeers >= expectedPeers
                 ? countedRequests
                 : Math.round((float) countedRequests * expectedPeers / currentPeers);
@@ -164,11 +220,7 @@
      * @param nowMillis The current time in milliseconds.
      */
     public void removeExpired(long nowMillis) {
-        peerCounts
-                .values()
-                .removeIf(
-                        counts ->
-                                nowMillis - counts.receivedMillis() > maximumPeerCountAgeMillis());
+        removeExpiredCounts(nowMillis);
         reportedLoads
                 .values()
                 .removeIf(
--- a/chicorytrestle-core/src/main/java/io/chicorytrestle/core/placement/OutcomeTracker.java
+++ b/chicorytrestle-core/src/main/java/io/chicorytrestle/core/placement/OutcomeTracker.java
@@ -1,7 +1,9 @@
 package io.chicorytrestle.core.placement;
 
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.Map;
+import java.util.Set;
 
 /**
  * Estimates the failure rate of each endpoint from the outcomes that all instances of the own
@@ -36,6 +38,9 @@
      */
     private final Map<String, Map<String, DecayingOutcomes>> peerOutcomes = new HashMap<>();
 
+    /** The incarnations of endpoints for which any current outcome is a failure. */
+    private final Set<String> failingIncarnations = new HashSet<>();
+
     /**
      * Records the outcome of a request.
      *
@@ -48,6 +53,9 @@
         Outcomes previous =
                 ownOutcomes.getOrDefault(incarnation, DecayingOutcomes.NONE).decayedAt(nowMillis);
         ownOutcomes.put(incarnation, new DecayingOutcomes(previous.plus(one), nowMillis));
+        if (!isSuccess) {
+            failingIncarnations.add(incarnation);
+        }
     }
 
     /**
@@ -74,8 +82,12 @@
     public void recordPeerOutcomes(String peer, Map<String, Outcomes> outcomes, long nowMillis) {
         Map<String, DecayingOutcomes> decaying = new HashMap<>();
         outcomes.forEach(
-                (incarnation, reported) ->
-                        decaying.put(incarnation, new DecayingOutcomes(reported, nowMillis)));
+                (incarnation, reported) -> {
+                    decaying.put(incarnation, new DecayingOutcomes(reported, nowMillis));
+                    if (reported.failed() > 0) {
+                        failingIncarnations.add(incarnation);
+                    }
+                });
         peerOutcomes.put(peer, decaying);
     }
 
@@ -87,6 +99,9 @@
      * @return The share, from zero to one, which tends to zero if few requests ended lately.
      */
     public double failureRate(String incarnation, long nowMillis) {
+        if (!failingIncarnations.contains(incarnation)) {
+            return 0;
+        }
         Outcomes sum =
                 ownOutcomes.getOrDefault(incarnation, DecayingOutcomes.NONE).decayedAt(nowMillis);
         for (Map<String, DecayingOutcomes> reported : peerOutcomes.values()) {
@@ -118,6 +133,23 @@
                                                         decaying.decayedAt(nowMillis).ended()
                                                                 < NEGLIGIBLE_COUNT));
         peerOutcomes.values().removeIf(Map::isEmpty);
+        failingIncarnations.clear();
+        collectFailing(ownOutcomes);
+        peerOutcomes.values().forEach(this::collectFailing);
+    }
+
+    /**
+     * Adds the endpoints with failures to those that are failing.
+     *
+     * @param outcomes The outcomes by incarnation of the endpoint.
+     */
+    private void collectFailing(Map<String, DecayingOutcomes> outcomes) {
+        outcomes.forEach(
+                (incarnation, decaying) -> {
+                    if (decaying.outcomes().failed() > 0) {
+                        failingIncarnations.add(incarnation);
+                    }
+                });
     }
 
     /**
--- a/chicorytrestle-core/src/test/java/io/chicorytrestle/core/placement/EndpointPickerTest.java
+++ b/chicorytrestle-core/src/test/java/io/chicorytrestle/core/placement/EndpointPickerTest.java
@@ -21,6 +21,8 @@
 
     private static final ServingView VIEW = Endpoints.view(FIRST, SECOND, THIRD);
 
+    private static final EndpointRanking RANKING = new EndpointRanking("a");
+
     private final LoadTracker loadTracker = new LoadTracker();
 
     private final EndpointHealth health = new EndpointHealth();
@@ -112,7 +114,7 @@
                         List.of(),
                         Set.of(home.incarnation()));
         ServingEndpoint previousHome =
-                EndpointRanking.rank(others, new PromptPart("chat", 400)).get(0);
+                RANKING.home(others, new PromptPart("chat", 400)).orElseThrow();
 
         assertThat(
                 pick(viewAfterJoin, "chat").fetchAddress(),
@@ -153,10 +155,10 @@
                     picker.pick(VIEW, Endpoints.SERVICE, Optional.of(longStream), Set.of(), 0)
                             .get();
             ServingEndpoint zoneIndependentHome =
-                    EndpointRanking.rank(
+                    RANKING.home(
                                     VIEW.endpointsOf(Endpoints.SERVICE),
                                     longStream.lastSharedPart().orElseThrow())
-                            .get(0);
+                            .orElseThrow();
 
             assertThat(placement.endpoint(), equalTo(FIRST));
             if (!zoneIndependentHome.equals(FIRST)) {
--- a/chicorytrestle-core/src/test/java/io/chicorytrestle/core/placement/LoadTrackerTest.java
+++ b/chicorytrestle-core/src/test/java/io/chicorytrestle/core/placement/LoadTrackerTest.java
@@ -3,7 +3,9 @@
 import static org.hamcrest.MatcherAssert.assertThat;
 import static org.hamcrest.Matchers.equalTo;
 
+import java.util.HashMap;
 import java.util.Map;
+import java.util.Random;
 import org.junit.jupiter.api.Test;
 
 class LoadTrackerTest {
@@ -52,4 +54,32 @@
 
         assertThat(tracker.estimate("e", 0), equalTo(0));
     }
+
+    /**
+     * Compares the running totals with sums over all peers, while counts are replaced and expire.
+     */
+    @Test
+    void testEstimateWhenCountsOfManyPeersAreReplacedAndExpire() {
+        Random random = new Random(7);
+        Map<Integer, Integer> counts = new HashMap<>();
+        Map<Integer, Long> receivedMillis = new HashMap<>();
+        for (long nowMillis = 0; nowMillis < 60_000; nowMillis += 100) {
+            int peer = random.nextInt(30);
+            int count = random.nextInt(4);
+            tracker.recordPeerCounts("p" + peer, Map.of("e", count, "f", 1), nowMillis);
+            counts.put(peer, count);
+            receivedMillis.put(peer, nowMillis);
+
+            long earliestMillis = nowMillis - 2_000;
+            int sum =
+                    counts.entrySet().stream()
+                            .filter(
+                                    entry ->
+                                            receivedMillis.getOrDefault(entry.getKey(), 0L)
+                                                    >= earliestMillis)
+                            .mapToInt(Map.Entry::getValue)
+                            .sum();
+            assertThat(tracker.estimate("e", nowMillis), equalTo(sum));
+        }
+    }
 }
--- a/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/fleet/FleetChannel.java
+++ b/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/fleet/FleetChannel.java
@@ -242,7 +242,8 @@
                                 observations.outcomes().ownOutcomes(nowMillis),
                                 fleetState.leaving(),
                                 observations.crashes().recentNotices(nowMillis),
-                                members.sampleReachablePeers(nowMillis)));
+                                members.sampleReachablePeers(nowMillis),
+                                observations.promptParts().ownReads(nowMillis)));
         for (String address : targets) {
             send(address, message, nowMillis);
         }
@@ -321,6 +322,7 @@
                     .outcomes()
                     .recordPeerOutcomes(heartbeat.sender().name(), heartbeat.outcomes(), nowMillis);
         }
+        observations.promptParts().recordPeerReads(heartbeat.promptReads(), nowMillis);
         heartbeat.crashes().forEach(crash -> observations.crashes().recordNotice(crash, nowMillis));
         for (String leaving : heartbeat.leaving()) {
             fleetState.markLeaving(leaving, heartbeat.sender().name(), nowMillis);
--- a/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/fleet/FleetCodec.java
+++ b/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/fleet/FleetCodec.java
@@ -126,6 +126,11 @@
         for (PeerAddress peer : heartbeat.peers()) {
             pack(packer, peer);
         }
+        packer.packMapHeader(heartbeat.promptReads().size());
+        for (Map.Entry<String, List<String>> reads : heartbeat.promptReads().entrySet()) {
+            packer.packString(reads.getKey());
+            packStrings(packer, reads.getValue());
+        }
     }
 
     /**
@@ -161,6 +166,12 @@
         for (int remaining = unpacker.unpackArrayHeader(); remaining > 0; remaining--) {
             peers.add(unpackAddress(unpacker));
         }
+        Map<String, List<String>> promptReads = new HashMap<>();
+        // An instance of an earlier version ends its heartbeats here.
+        int endpoints = unpacker.hasNext() ? unpacker.unpackMapHeader() : 0;
+        for (int remaining = endpoints; remaining > 0; remaining--) {
+            promptReads.put(unpacker.unpackString(), unpackStrings(unpacker));
+        }
         return new Heartbeat(
                 sender,
                 incarnation,
@@ -172,7 +183,8 @@
                 outcomes,
                 leaving,
                 crashes,
-                peers);
+                peers,
+                promptReads);
     }
 
     /**
--- a/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/fleet/Heartbeat.java
+++ b/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/fleet/Heartbeat.java
@@ -22,6 +22,8 @@
  * @param leaving The incarnations of endpoints that accept no more requests.
  * @param crashes The fingerprints of requests under which endpoints crashed recently.
  * @param peers A sample of the instances known to the sender.
+ * @param promptReads The keys of prompt parts that endpoints read lately at the sender's request,
+ *     by incarnation of the endpoint.
  */
 public record Heartbeat(
         PeerAddress sender,
@@ -34,7 +36,8 @@
         Map<String, Outcomes> outcomes,
         List<String> leaving,
         List<CrashNotice> crashes,
-        List<PeerAddress> peers)
+        List<PeerAddress> peers,
+        Map<String, List<String>> promptReads)
         implements FleetMessage {
 
     /** Copies the collections. */
@@ -44,5 +47,6 @@
         leaving = List.copyOf(leaving);
         crashes = List.copyOf(crashes);
         peers = List.copyOf(peers);
+        promptReads = Map.copyOf(promptReads);
     }
 }
--- a/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/fleet/PeerObservations.java
+++ b/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/fleet/PeerObservations.java
@@ -2,6 +2,7 @@
 
 import io.chicorytrestle.core.placement.LoadTracker;
 import io.chicorytrestle.core.placement.OutcomeTracker;
+import io.chicorytrestle.core.placement.PromptPartTracker;
 import io.chicorytrestle.core.placement.ZoneReachability;
 import io.chicorytrestle.core.poison.CrashTracker;
 
@@ -12,9 +13,11 @@
  * @param outcomes The outcomes of requests by endpoint, shared within the zone.
  * @param crashes The crashes of endpoints by request content.
  * @param zoneReachability The time of the last contact by zone.
+ * @param promptParts The endpoints that processed each prompt part lately.
  */
 public record PeerObservations(
         LoadTracker loads,
         OutcomeTracker outcomes,
         CrashTracker crashes,
-        ZoneReachability zoneReachability) {}
+        ZoneReachability zoneReachability,
+        PromptPartTracker promptParts) {}
--- a/chicorytrestle-gateway/src/test/java/io/chicorytrestle/gateway/fleet/FleetCodecTest.java
+++ b/chicorytrestle-gateway/src/test/java/io/chicorytrestle/gateway/fleet/FleetCodecTest.java
@@ -38,7 +38,8 @@
                         List.of(
                                 new CrashNotice("ab12", List.of("e@1")),
                                 new CrashNotice("cd34", List.of())),
-                        List.of(new PeerAddress("b", "10.0.0.3:9", "y")));
+                        List.of(new PeerAddress("b", "10.0.0.3:9", "y")),
+                        Map.of("e@1", List.of("m/1", "m/2")));
 
         assertThat(FleetCodec.decode(FleetCodec.encode(heartbeat)), equalTo(heartbeat));
     }
--- a/chicorytrestle-gateway/src/test/java/io/chicorytrestle/gateway/fleet/FleetMembershipTest.java
+++ b/chicorytrestle-gateway/src/test/java/io/chicorytrestle/gateway/fleet/FleetMembershipTest.java
@@ -183,6 +183,7 @@
                 Map.of(),
                 List.of(),
                 List.of(),
-                peers);
+                peers,
+                Map.of());
     }
 }
