Start requests after all input is handled, and let an instance that is behind catch up

Cause: after a loss of power of all instances on the grown crate site, each instance met the requests of three seconds with code that is not compiled yet. A request was placed in the same callback that read it, so that one iteration of the event loop took up to 0.9 s. Ruled out: endpoints that do not accept (they answered others meanwhile); classes that are loaded (few). Change: - RequestStarter starts requests for 10 ms an iteration, after its input. An old request waits for another poll, which shows whether its caller has left. - ArrivalQueue chooses: the earliest first, the latest first once requests wait for 100 ms; a request that waits for a second or a third of its deadline is refused (503, it has not run). - A request's age counts from the earliest time at which it can have arrived (EventLoopLag), and its deadline is checked again before bytes are sent. - Time-outs for connects, silence, stalls and the store's answers wait for the input that arrived during the delay.

--- a/chicorytrestle-core/src/main/java/io/chicorytrestle/core/attempt/AttemptState.java
+++ b/chicorytrestle-core/src/main/java/io/chicorytrestle/core/attempt/AttemptState.java
@@ -26,7 +26,7 @@
         long remainingMillis) {
 
     /** The remaining time in milliseconds below which no endpoint can answer any more. */
-    private static final long MINIMUM_REMAINING_MILLIS = 20;
+    public static final long MINIMUM_REMAINING_MILLIS = 20;
 
     /** Rejects counts that are out of range. */
     public AttemptState {
--- a/chicorytrestle-core/src/main/java/io/chicorytrestle/core/attempt/RefusalReason.java
+++ b/chicorytrestle-core/src/main/java/io/chicorytrestle/core/attempt/RefusalReason.java
@@ -34,6 +34,12 @@
      */
     ENDING(20),
 
+    /**
+     * This instance is behind with its work, such as after a restart. A retry reaches another
+     * instance.
+     */
+    INSTANCE_BEHIND(50),
+
     /** This instance holds as many requests as its memory allows. */
     INSTANCE_FULL(200);
 
--- a/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/Gateway.java
+++ b/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/Gateway.java
@@ -18,9 +18,11 @@
 import io.chicorytrestle.gateway.fleet.FleetState;
 import io.chicorytrestle.gateway.fleet.PeerAddress;
 import io.chicorytrestle.gateway.fleet.TableCodec;
+import io.chicorytrestle.gateway.front.AcceptPause;
 import io.chicorytrestle.gateway.front.FrontHttpServer;
 import io.chicorytrestle.gateway.front.HttpRequestHandler;
 import io.chicorytrestle.gateway.link.Addresses;
+import io.chicorytrestle.gateway.link.EventLoopLag;
 import io.chicorytrestle.gateway.link.LocalResponses;
 import io.chicorytrestle.gateway.operations.AsyncLineWriter;
 import io.chicorytrestle.gateway.operations.GatewayMetrics;
@@ -81,6 +83,13 @@
      */
     private static final long BALANCER_REMOVAL_MILLIS = 2_600;
 
+    /**
+     * The longest time in milliseconds for which a starting instance leaves callers' connections
+     * unaccepted: an instance that knows no routing table by then may be cut off from the store,
+     * and refuses.
+     */
+    private static final long MAXIMUM_START_PAUSE_MILLIS = 2_000;
+
     /**
      * The share of the grace period before the process is killed after which it exits on its own.
      */
@@ -92,6 +101,9 @@
     /** The event loop, whose clock is monotonic. */
     private final Eventloop reactor;
 
+    /** Measures how long the event loop leaves arrived bytes unread. */
+    private final EventLoopLag eventLoopLag = new EventLoopLag();
+
     /** The metrics of this instance. */
     private final GatewayMetrics metrics = new GatewayMetrics();
 
@@ -142,12 +154,14 @@
         reactor =
                 Eventloop.builder()
                         .withTimeProvider(() -> TimeUnit.NANOSECONDS.toMillis(System.nanoTime()))
+                        .withInspector(eventLoopLag)
                         .withCurrentThread()
                         .build();
         reactor.keepAlive(true);
         context =
                 new GatewayContext(
                         reactor,
+                        eventLoopLag,
                         blackboard,
                         dialect,
                         metrics,
@@ -159,20 +173,15 @@
                         (long) (settings.drainMillis() * VANISHED_ENDPOINT_SHARE),
                         context.endpointConnections()::closeIdle);
         Supplier<RequestLimits> limits = () -> context.table().limits();
-        requestHandler = new RequestHandler(context);
-        blackboard.addListener(RouteTopics.ROUTING_TABLE, table -> requestHandler.servePending());
-        blackboard.addListener(PlacementTopics.SERVING, view -> requestHandler.servePending());
+        requestHandler =
+                new RequestHandler(
+                        context,
+                        isBehind -> callerServer().setPaused(AcceptPause.BEHIND, isBehind));
+        blackboard.addListener(RouteTopics.ROUTING_TABLE, table -> handleNewState());
+        blackboard.addListener(PlacementTopics.SERVING, view -> handleNewState());
         callerServer = server(settings.callerAddress(), requestHandler, limits);
         ready = server(settings.readyAddress(), text(this::readiness), () -> RequestLimits.DEFAULT);
-        InetSocketAddress peerAddress = Addresses.parse(settings.peerAddress());
-        metricsServer =
-                server(
-                        peerAddress.getAddress().getHostAddress() + ':' + metricsPort,
-                        text(
-                                () ->
-                                        LocalResponses.plainText(
-                                                HttpResponseStatus.OK, metrics.render())),
-                        () -> RequestLimits.DEFAULT);
+        metricsServer = createMetricsServer(metricsPort);
         fleet =
                 new FleetChannel(
                         reactor,
@@ -182,10 +191,32 @@
                         fleetState,
                         context.observations(),
                         codec);
+        registerControllers();
+        registerGauges();
+    }
+
+    /**
+     * Returns the server for callers, which is created after the handler that pauses it.
+     *
+     * @return The server.
+     */
+    private FrontHttpServer callerServer() {
+        return callerServer;
+    }
+
+    /** Serves callers once requests can be routed. */
+    private void handleNewState() {
+        if (context.isReadyToRoute()) {
+            callerServer.setPaused(AcceptPause.STARTING, false);
+            requestHandler.servePending();
+        }
+    }
+
+    /** Registers the controllers that run at each interval. */
+    private void registerControllers() {
         controllers.add(fleetState);
         controllers.add(context::step);
         controllers.add(nowMillis -> context.budgets().recordInstanceCount(fleet.peerCount() + 1));
-        registerGauges();
     }
 
     /**
@@ -205,6 +236,7 @@
     private void registerGauges() {
         metrics.gauge("peers", fleet::peerCount);
         metrics.gauge("table_version", fleetState::tableVersion);
+        metrics.gauge("event_loop_lag_ms", eventLoopLag::lagMillis);
         metrics.gauge("caller_connections", callerServer::connections);
         metrics.gauge("log_lines_dropped", AsyncLineWriter.STANDARD_OUTPUT::droppedLines);
     }
@@ -222,6 +254,7 @@
         return new FrontHttpServer(
                 reactor,
                 Addresses.parse(address),
+                eventLoopLag,
                 handler,
                 limits,
                 (status, reason) ->
@@ -232,6 +265,20 @@
                 Runtime.getRuntime().maxMemory() / HEAP_TO_BODY_RATIO);
     }
 
+    /**
+     * Creates the server for the metrics, on the address for peers.
+     *
+     * @param port The port.
+     * @return The server, which does not listen yet.
+     */
+    private FrontHttpServer createMetricsServer(int port) {
+        InetSocketAddress peerAddress = Addresses.parse(settings.peerAddress());
+        return server(
+                peerAddress.getAddress().getHostAddress() + ':' + port,
+                text(() -> LocalResponses.plainText(HttpResponseStatus.OK, metrics.render())),
+                () -> RequestLimits.DEFAULT);
+    }
+
     /**
      * Returns a handler that ignores the request and sends a generated response.
      *
@@ -239,7 +286,7 @@
      * @return The handler.
      */
     private static HttpRequestHandler text(Supplier<FullHttpResponse> response) {
-        return (head, body, caller) -> {
+        return (head, body, arrivedMillis, caller) -> {
             caller.send(response.get());
             return () -> {};
         };
@@ -312,6 +359,10 @@
      * @throws IOException If an address cannot be bound.
      */
     public void run() throws IOException {
+        callerServer.setPaused(AcceptPause.STARTING, !context.isReadyToRoute());
+        reactor.delayBackground(
+                MAXIMUM_START_PAUSE_MILLIS,
+                () -> callerServer.setPaused(AcceptPause.STARTING, false));
         callerServer.listen();
         ready.listen();
         metricsServer.listen();
@@ -380,7 +431,8 @@
             reactor.breakEventloop();
             return;
         }
-        reactor.delayBackground(CONTROLLER_INTERVAL_MILLIS, this::stepControllers);
+        EventLoopLag.delayUntilInputIsHandled(
+                reactor, CONTROLLER_INTERVAL_MILLIS, this::stepControllers);
     }
 
     /**
--- a/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/endpoint/EndpointConnection.java
+++ b/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/endpoint/EndpointConnection.java
@@ -139,6 +139,11 @@
                 && idleMillis < Math.min(maximumIdleMillis, keepAliveMillis);
     }
 
+    /** Records that the connection carries no request from now on. */
+    void markIdle() {
+        idleSinceMillis = pool.nowMillis();
+    }
+
     @Override
     public void onMessage(HttpObject message) {
         if (message.decoderResult().isFailure()) {
@@ -207,7 +212,7 @@
         listener = null;
         isReusable &= connection.isDrained() && !connection.hasUndelivered();
         if (isReusable) {
-            idleSinceMillis = pool.nowMillis();
+            markIdle();
             pool.release(this);
         } else {
             connection.close();
--- a/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/endpoint/EndpointConnectionPool.java
+++ b/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/endpoint/EndpointConnectionPool.java
@@ -1,13 +1,18 @@
 package io.chicorytrestle.gateway.endpoint;
 
 import com.codahale.metrics.Counter;
+import io.activej.net.socket.tcp.ITcpSocket;
 import io.activej.net.socket.tcp.TcpSocket;
 import io.activej.promise.Promise;
+import io.activej.promise.SettablePromise;
 import io.activej.reactor.net.SocketSettings;
 import io.activej.reactor.nio.NioReactor;
+import io.activej.reactor.schedule.ScheduledRunnable;
 import io.chicorytrestle.core.placement.ServingEndpoint;
 import io.chicorytrestle.gateway.dialect.HeaderDialect;
 import io.chicorytrestle.gateway.link.Addresses;
+import io.chicorytrestle.gateway.link.EventLoopLag;
+import java.io.IOException;
 import java.time.Duration;
 import java.util.ArrayDeque;
 import java.util.Deque;
@@ -24,6 +29,9 @@
      */
     private static final long CONNECT_TIMEOUT_MILLIS = 700;
 
+    /** The time in milliseconds after which a connection that nobody waits for is given up. */
+    private static final long ABANDONED_CONNECT_MILLIS = 3_000;
+
     /**
      * The time in milliseconds for which an idle connection is kept if the endpoint states none.
      */
@@ -76,19 +84,58 @@
             }
         }
         openedConnections.inc();
-        return TcpSocket.connect(
+        SettablePromise<EndpointConnection> acquired = new SettablePromise<>();
+        ScheduledRunnable timer =
+                EventLoopLag.delayUntilInputIsHandled(
+                        reactor,
+                        CONNECT_TIMEOUT_MILLIS,
+                        () -> acquired.trySetException(new IOException("Connection timed out")));
+        TcpSocket.connect(
                         reactor,
                         Addresses.parse(endpoint.address()),
-                        Duration.ofMillis(CONNECT_TIMEOUT_MILLIS),
+                        Duration.ofMillis(ABANDONED_CONNECT_MILLIS),
                         SOCKET_SETTINGS)
-                .map(
-                        socket ->
-                                new EndpointConnection(
-                                        endpoint,
-                                        dialect,
-                                        this,
-                                        socket,
-                                        DEFAULT_KEEP_ALIVE_MILLIS));
+                .whenComplete(
+                        (socket, failure) -> {
+                            if (timer.isActive()) {
+                                timer.cancel();
+                            }
+                            if (failure != null) {
+                                acquired.trySetException(failure);
+                            } else {
+                                handleConnected(acquired, endpoint, socket);
+                            }
+                        });
+        return acquired;
+    }
+
+    /**
+     * Hands an established connection to the request that waits for it, or keeps it for a later one
+     * if the request has stopped waiting.
+     *
+     * @param acquired Receives the connection unless it has failed.
+     * @param endpoint The endpoint.
+     * @param socket The socket of the connection.
+     */
+    private void handleConnected(
+            SettablePromise<EndpointConnection> acquired,
+            ServingEndpoint endpoint,
+            ITcpSocket socket) {
+        EndpointConnection connection =
+                new EndpointConnection(endpoint, dialect, this, socket, DEFAULT_KEEP_ALIVE_MILLIS);
+        if (!acquired.trySet(connection)) {
+            giveBack(connection);
+        }
+    }
+
+    /**
+     * Takes a connection back on which no request was sent since it was acquired.
+     *
+     * @param connection The connection.
+     */
+    public void giveBack(EndpointConnection connection) {
+        connection.markIdle();
+        release(connection);
     }
 
     /**
--- a/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/exchange/Attempt.java
+++ b/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/exchange/Attempt.java
@@ -158,6 +158,12 @@
             acquired.cancel();
             return;
         }
+        if (!exchange.hasTimeToSend()) {
+            end();
+            context.endpointConnections().giveBack(acquired);
+            exchange.onAttemptFailed(this, Verdict.NOT_RUN, "deadline passed while connecting");
+            return;
+        }
         connection = acquired;
         isSent = true;
         exchange.onSent(this);
--- a/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/exchange/Exchange.java
+++ b/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/exchange/Exchange.java
@@ -1,6 +1,7 @@
 package io.chicorytrestle.gateway.exchange;
 
 import io.activej.reactor.schedule.ScheduledRunnable;
+import io.chicorytrestle.core.attempt.AttemptState;
 import io.chicorytrestle.core.attempt.NextStep;
 import io.chicorytrestle.core.attempt.RefusalReason;
 import io.chicorytrestle.core.placement.Placement;
@@ -101,6 +102,10 @@
      * is left.
      */
     private void startAttempt() {
+        if (!hasTimeToSend() && attempts.sends() == 0) {
+            end().refuse(RefusalReason.DEADLINE, remainingMillis());
+            return;
+        }
         Optional<Placement> chosen =
                 context.picker()
                         .pick(
@@ -383,6 +388,15 @@
         return completion;
     }
 
+    /**
+     * Returns {@code true} if an endpoint that receives the request now can still answer in time.
+     *
+     * @return {@code true} if the deadline is not imminent.
+     */
+    boolean hasTimeToSend() {
+        return remainingMillis() > AttemptState.MINIMUM_REMAINING_MILLIS;
+    }
+
     /**
      * Returns the time until the deadline.
      *
--- a/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/exchange/GatewayContext.java
+++ b/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/exchange/GatewayContext.java
@@ -20,11 +20,13 @@
 import io.chicorytrestle.gateway.dialect.HeaderDialect;
 import io.chicorytrestle.gateway.endpoint.EndpointConnectionPool;
 import io.chicorytrestle.gateway.fleet.PeerObservations;
+import io.chicorytrestle.gateway.link.EventLoopLag;
 import io.chicorytrestle.gateway.operations.GatewayMetrics;
 import io.chicorytrestle.gateway.operations.LogFields;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Set;
+import java.util.concurrent.TimeUnit;
 
 /**
  * Holds the state that all requests of an instance share. It is confined to the event loop's
@@ -38,6 +40,9 @@
     /** The event loop. */
     private final NioReactor reactor;
 
+    /** Tells for how long bytes that are read now may have been waiting. */
+    private final EventLoopLag eventLoopLag;
+
     /** The current routing table and the view of endpoints. */
     private final Blackboard blackboard;
 
@@ -84,6 +89,7 @@
      * Creates a context without requests.
      *
      * @param reactor The event loop.
+     * @param eventLoopLag Tells for how long bytes that are read now may have been waiting.
      * @param blackboard Holds the routing table and the view of endpoints.
      * @param dialect Translates HTTP headers.
      * @param metrics The metrics to which those of the context are added.
@@ -93,12 +99,14 @@
      */
     public GatewayContext(
             NioReactor reactor,
+            EventLoopLag eventLoopLag,
             Blackboard blackboard,
             HeaderDialect dialect,
             GatewayMetrics metrics,
             PlacementSettings placementSettings,
             RetryAllowance retryAllowance) {
         this.reactor = reactor;
+        this.eventLoopLag = eventLoopLag;
         this.blackboard = blackboard;
         this.dialect = dialect;
         this.metrics = metrics;
@@ -129,10 +137,20 @@
     /**
      * Returns the current time.
      *
-     * @return The time of the event loop's monotonic clock in milliseconds.
+     * @return The time of the event loop's monotonic clock in milliseconds, read anew, since the
+     *     event loop's own copy is as old as the work that it is doing.
      */
     public long nowMillis() {
-        return reactor.currentTimeMillis();
+        return TimeUnit.NANOSECONDS.toMillis(System.nanoTime());
+    }
+
+    /**
+     * Returns the measure of the event loop's lag.
+     *
+     * @return The lag of the event loop.
+     */
+    EventLoopLag eventLoopLag() {
+        return eventLoopLag;
     }
 
     /**
@@ -158,7 +176,7 @@
      *
      * @return {@code true} if a routing table and endpoints are known.
      */
-    boolean isReadyToRoute() {
+    public boolean isReadyToRoute() {
         return table().isPublished() && !endpoints().endpoints().isEmpty();
     }
 
@@ -283,7 +301,7 @@
      * @return A new record of the trackers of this context.
      */
     public PeerObservations observations() {
-        return new PeerObservations(loads, outcomes, crashes, zoneReachability);
+        return new PeerObservations(loads, outcomes, crashes, zoneReachability, promptHolders);
     }
 
     /**
--- a/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/exchange/ProgressMonitor.java
+++ b/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/exchange/ProgressMonitor.java
@@ -2,6 +2,7 @@
 
 import io.chicorytrestle.core.attempt.AttemptTimeouts;
 import io.chicorytrestle.core.route.Route;
+import io.chicorytrestle.gateway.link.EventLoopLag;
 
 /**
  * Detects that an attempt's endpoint sends no response, or no more of a stream, in time, if the
@@ -50,15 +51,15 @@
      */
     void begin(long remainingMillis) {
         if (route.repeatability().isIdempotent()) {
-            context.reactor()
-                    .delayBackground(
-                            AttemptTimeouts.answerTimeoutMillis(
-                                    route.latencyTargetMillis(), remainingMillis),
-                            () -> {
-                                if (!isEnded && !isStarted) {
-                                    timeoutListener.run();
-                                }
-                            });
+            EventLoopLag.delayUntilInputIsHandled(
+                    context.reactor(),
+                    AttemptTimeouts.answerTimeoutMillis(
+                            route.latencyTargetMillis(), remainingMillis),
+                    () -> {
+                        if (!isEnded && !isStarted) {
+                            timeoutListener.run();
+                        }
+                    });
         }
     }
 
@@ -93,7 +94,8 @@
         if (remainingMillis <= 0) {
             timeoutListener.run();
         } else {
-            context.reactor().delayBackground(remainingMillis, this::checkForStall);
+            EventLoopLag.delayUntilInputIsHandled(
+                    context.reactor(), remainingMillis, this::checkForStall);
         }
     }
 
--- a/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/exchange/RequestHandler.java
+++ b/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/exchange/RequestHandler.java
@@ -16,6 +16,7 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.Set;
+import java.util.function.Consumer;
 
 /**
  * Accepts requests, finds their route and workspace, and starts an exchange for each. An instance
@@ -44,6 +45,9 @@
     /** The requests that are held until the routing table is received, in order of arrival. */
     private final Set<PendingRequest> pendingRequests = new LinkedHashSet<>();
 
+    /** The requests that are to be routed, and the order in which that happens. */
+    private final RequestStarter starts;
+
     /** Whether requests are refused because the instance is about to exit. */
     private boolean isEnding;
 
@@ -51,9 +55,11 @@
      * Creates a handler that accepts requests.
      *
      * @param context The state that all requests share.
+     * @param backlogListener Called with whether more requests were received than could be started.
      */
-    public RequestHandler(GatewayContext context) {
+    public RequestHandler(GatewayContext context, Consumer<Boolean> backlogListener) {
         this.context = context;
+        starts = new RequestStarter(context, backlogListener);
     }
 
     /**
@@ -68,12 +74,12 @@
         if (context.isReadyToRoute()) {
             List<PendingRequest> waiting = List.copyOf(pendingRequests);
             pendingRequests.clear();
-            waiting.forEach(PendingRequest::routeAndServe);
+            waiting.forEach(starts::add);
         }
     }
 
     @Override
-    public Runnable handle(HttpRequest head, byte[] body, ResponseSink caller) {
+    public Runnable handle(HttpRequest head, byte[] body, long arrivedMillis, ResponseSink caller) {
         GatewayRequest request;
         try {
             request = context.dialect().read(head);
@@ -85,10 +91,9 @@
             refuse(request, caller, RefusalReason.ENDING);
             return RequestHandler::ignoreDisconnect;
         }
-        PendingRequest pending =
-                new PendingRequest(request, head, body, caller, context.nowMillis());
+        PendingRequest pending = new PendingRequest(request, head, body, caller, arrivedMillis);
         if (context.isReadyToRoute()) {
-            pending.routeAndServe();
+            starts.add(pending);
         } else {
             pending.awaitRoutingTable();
         }
@@ -110,6 +115,22 @@
      */
     private void refuse(GatewayRequest request, ResponseSink caller, RefusalReason reason) {
         long remainingMillis = request.deadlineMillis().orElse(DEFAULT_DEADLINE_MILLIS);
+        refuse(request, caller, reason, remainingMillis);
+    }
+
+    /**
+     * Refuses a request before it is routed. It may be retried later.
+     *
+     * @param request The request.
+     * @param caller Receives the response.
+     * @param reason Why the request is refused.
+     * @param remainingMillis The time until the caller's deadline in milliseconds.
+     */
+    private void refuse(
+            GatewayRequest request,
+            ResponseSink caller,
+            RefusalReason reason,
+            long remainingMillis) {
         long retryAfterMillis =
                 Refusals.send(context, new ResponseRelay(caller), reason, remainingMillis);
         LOGGER.atInfo()
@@ -139,7 +160,7 @@
     }
 
     /** A request from its arrival until its exchange starts. */
-    private final class PendingRequest {
+    private final class PendingRequest implements RequestStarter.Startable {
 
         /** The request as read from its head. */
         private final GatewayRequest request;
@@ -192,16 +213,33 @@
                             Math.max(1, waitMillis),
                             () -> {
                                 if (pendingRequests.remove(this)) {
-                                    routeAndServe();
+                                    start();
                                 }
                             });
         }
 
+        @Override
+        public long arrivedMillis() {
+            return arrivedMillis;
+        }
+
+        @Override
+        public long deadlineMillis() {
+            return request.deadlineMillis().orElse(DEFAULT_DEADLINE_MILLIS);
+        }
+
+        @Override
+        public void refuseOverdue() {
+            long waitedMillis = context.nowMillis() - arrivedMillis;
+            refuse(request, caller, RefusalReason.INSTANCE_BEHIND, deadlineMillis() - waitedMillis);
+        }
+
         /**
          * Finds the route, the workspace and the service, and starts the exchange; refuses or
          * rejects the request otherwise.
          */
-        private void routeAndServe() {
+        @Override
+        public void start() {
             RoutingTable table = context.table();
             if (!table.isPublished()) {
                 refuse(request, caller, RefusalReason.NO_TABLE);
@@ -239,6 +277,7 @@
         /** Drops a held request or cancels the exchange after the caller disconnected. */
         private void onCallerDisconnected() {
             pendingRequests.remove(this);
+            starts.remove(this);
             exchange.ifPresent(Exchange::onCallerDisconnected);
         }
     }
--- a/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/front/CallerConnection.java
+++ b/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/front/CallerConnection.java
@@ -56,6 +56,15 @@
     /** Idle or receive time-out, or null while a response is being produced. */
     private @Nullable ScheduledRunnable timer;
 
+    /** The time in milliseconds at which the connection was accepted. */
+    private final long acceptedMillis;
+
+    /** The earliest time in milliseconds at which the connection can have been established. */
+    private final long establishedMillis;
+
+    /** The earliest time in milliseconds at which the current request can have arrived. */
+    private long arrivedMillis;
+
     /** Whether bytes of a request were received but its head is not complete yet. */
     private boolean isHeadPending;
 
@@ -81,6 +90,8 @@
     CallerConnection(FrontHttpServer server, ITcpSocket socket, RequestLimits limits) {
         this.server = server;
         this.requestLimits = limits;
+        acceptedMillis = server.nowMillis();
+        establishedMillis = server.earliestArrivalMillis();
         connection =
                 HttpConnection.of(
                         socket, this, new StrictRequestDecoder(limits.headerBytes()), encoder);
@@ -117,10 +128,22 @@
     public void onBytesReceived() {
         if (!isResponding && !isHeadPending && requestHead == null) {
             isHeadPending = true;
+            arrivedMillis = earliestArrivalMillis();
             startTimer(requestLimits.headerTimeoutMillis());
         }
     }
 
+    /**
+     * Returns the earliest time at which the bytes that are read now can have arrived. Bytes found
+     * by the first poll after the connection was accepted may be as old as the connection.
+     *
+     * @return The time in milliseconds.
+     */
+    private long earliestArrivalMillis() {
+        long earliestMillis = server.earliestArrivalMillis();
+        return earliestMillis <= acceptedMillis + 1 ? establishedMillis : earliestMillis;
+    }
+
     @Override
     public void onMessage(HttpObject message) {
         if (message.decoderResult().isFailure()) {
@@ -213,7 +236,7 @@
         closesAfterResponse = !HttpUtil.isKeepAlive(request);
         encoder.setHeadRequest(request.method().equals(HttpMethod.HEAD));
         byte[] body = requestBody.toByteArray();
-        Runnable action = server.handler().handle(request, body, this);
+        Runnable action = server.handler().handle(request, body, arrivedMillis, this);
         if (isResponding) {
             onCallerDisconnect = action;
         }
@@ -252,6 +275,7 @@
             connection.whenDrained(this::close);
         } else {
             startTimer(requestLimits.idleTimeoutMillis());
+            arrivedMillis = server.earliestArrivalMillis();
             connection.resumeDelivery();
         }
     }
--- a/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/front/HttpRequestHandler.java
+++ b/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/front/HttpRequestHandler.java
@@ -10,8 +10,9 @@
      *
      * @param head The request line and the headers.
      * @param body The body, empty if there is none.
+     * @param arrivedMillis The earliest time in milliseconds at which the request can have arrived.
      * @param caller Receives the response, now or later.
      * @return Run if the caller disconnects before the response is complete.
      */
-    Runnable handle(HttpRequest head, byte[] body, ResponseSink caller);
+    Runnable handle(HttpRequest head, byte[] body, long arrivedMillis, ResponseSink caller);
 }
--- a/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/link/PooledHttpClient.java
+++ b/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/link/PooledHttpClient.java
@@ -203,18 +203,24 @@
             responsePromise = promise;
             responseBody.reset();
             timer =
-                    reactor.delayBackground(
-                            timeoutMillis,
-                            () ->
-                                    onFailure(
-                                            new IOException(
-                                                    "No response within "
-                                                            + timeoutMillis
-                                                            + " ms")));
+                    EventLoopLag.delayUntilInputIsHandled(
+                            reactor, timeoutMillis, () -> timeOut(promise, timeoutMillis));
             connection.write(request);
             connection.startReading();
         }
 
+        /**
+         * Fails a request that is still unanswered. The response may have arrived after the delay.
+         *
+         * @param promise The promise of the request.
+         * @param timeoutMillis The time in milliseconds within which the response had to arrive.
+         */
+        private void timeOut(SettablePromise<Response> promise, long timeoutMillis) {
+            if (responsePromise == promise) {
+                onFailure(new IOException("No response within " + timeoutMillis + " ms"));
+            }
+        }
+
         @Override
         public void onMessage(HttpObject message) {
             if (message.decoderResult().isFailure()) {
