End stalls in which an endpoint sends bytes but no event

Ruled out: slow streams that are sound, whose time-out for a stall is as before. Change: only bytes that reach the caller count, for an event stream those that complete an event. Test: StreamPathTest.testResponseWhenResumableStreamSendsSingleBytesOnly failed before (6 s until the deadline, no second event) and passes now.

--- a/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/exchange/Exchange.java
+++ b/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/exchange/Exchange.java
@@ -196,14 +196,16 @@
     }
 
     /**
-     * Forwards a part of the body.
+     * Forwards a part of the body. Only what reaches the caller counts as progress: bytes that
+     * complete no event must not keep a stalled stream alive.
      *
      * @param from The attempt that receives the response.
      * @param content The part.
      */
     void onStreamContent(Attempt from, ByteBuf content) {
-        from.progressMonitor().recordProgress();
-        relay.send(content);
+        if (relay.send(content)) {
+            from.progressMonitor().recordProgress();
+        }
     }
 
     /**
--- a/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/exchange/ResponseRelay.java
+++ b/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/exchange/ResponseRelay.java
@@ -84,15 +84,18 @@
      * Forwards a part of the body.
      *
      * @param content The part.
+     * @return {@code true} if the caller receives something: for an event stream, a complete event.
      */
-    void send(ByteBuf content) {
+    boolean send(ByteBuf content) {
+        byte[] bytes;
         if (isEventStream) {
-            sendBytes(splitter.append(content));
+            bytes = splitter.append(content);
         } else {
-            byte[] bytes = new byte[content.readableBytes()];
+            bytes = new byte[content.readableBytes()];
             content.readBytes(bytes);
-            sendBytes(bytes);
         }
+        sendBytes(bytes);
+        return bytes.length > 0;
     }
 
     /** Forwards what is left of an event stream, and ends the body. */
