--- a/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/exchange/RequestHandler.java
+++ b/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/exchange/RequestHandler.java
@@ -46,7 +46,7 @@
     private final Set<PendingRequest> pendingRequests = new LinkedHashSet<>();
 
     /** The requests that are to be routed, and the order in which that happens. */
-    private final RequestStarter starts;
+    private final RequestStarter starter;
 
     /** Whether requests are refused because the instance is about to exit. */
     private boolean isEnding;
@@ -59,7 +59,7 @@
      */
     public RequestHandler(GatewayContext context, Consumer<Boolean> backlogListener) {
         this.context = context;
-        starts = new RequestStarter(context, backlogListener);
+        starter = new RequestStarter(context, backlogListener);
     }
 
     /**
@@ -74,7 +74,7 @@
         if (context.isReadyToRoute()) {
             List<PendingRequest> waiting = List.copyOf(pendingRequests);
             pendingRequests.clear();
-            waiting.forEach(starts::add);
+            waiting.forEach(starter::add);
         }
     }
 
@@ -93,7 +93,7 @@
         }
         PendingRequest pending = new PendingRequest(request, head, body, caller, arrivedMillis);
         if (context.isReadyToRoute()) {
-            starts.add(pending);
+            starter.add(pending);
         } else {
             pending.awaitRoutingTable();
         }
@@ -277,7 +277,7 @@
         /** Drops a held request or cancels the exchange after the caller disconnected. */
         private void onCallerDisconnected() {
             pendingRequests.remove(this);
-            starts.remove(this);
+            starter.remove(this);
             exchange.ifPresent(Exchange::onCallerDisconnected);
         }
     }
