Pause accepting only at the start, and count the pause in the age of requests

One way to that is certain by reading the code: a connection held in the operating system's queue while accepting was paused looked as young as its acceptance, so that neither its age nor a poll for its caller's leaving held it back. Change: an instance that is behind accepts at once, so that its own queue orders what it received; only a start pauses. A request of a connection that was held in a pause counts as 300 ms old, and so waits for another poll. Test: FrontHttpServerTest (a request of a pause had the age 0 before).

--- a/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/Gateway.java
+++ b/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/Gateway.java
@@ -18,7 +18,6 @@
 import io.chicorytrestle.gateway.fleet.FleetState;
 import io.chicorytrestle.gateway.fleet.PeerAddress;
 import io.chicorytrestle.gateway.fleet.TableCodec;
-import io.chicorytrestle.gateway.front.AcceptPause;
 import io.chicorytrestle.gateway.front.FrontHttpServer;
 import io.chicorytrestle.gateway.front.HttpRequestHandler;
 import io.chicorytrestle.gateway.link.Addresses;
@@ -173,10 +172,7 @@
                         (long) (settings.drainMillis() * VANISHED_ENDPOINT_SHARE),
                         context.endpointConnections()::closeIdle);
         Supplier<RequestLimits> limits = () -> context.table().limits();
-        requestHandler =
-                new RequestHandler(
-                        context,
-                        isBehind -> callerServer().setPaused(AcceptPause.BEHIND, isBehind));
+        requestHandler = new RequestHandler(context);
         blackboard.addListener(RouteTopics.ROUTING_TABLE, table -> handleNewState());
         blackboard.addListener(PlacementTopics.SERVING, view -> handleNewState());
         callerServer = server(settings.callerAddress(), requestHandler, limits);
@@ -195,19 +191,10 @@
         registerGauges();
     }
 
-    /**
-     * Returns the server for callers, which is created after the handler that pauses it.
-     *
-     * @return The server.
-     */
-    private FrontHttpServer callerServer() {
-        return callerServer;
-    }
-
     /** Serves callers once requests can be routed. */
     private void handleNewState() {
         if (context.isReadyToRoute()) {
-            callerServer.setPaused(AcceptPause.STARTING, false);
+            callerServer.resume();
             requestHandler.servePending();
         }
     }
@@ -359,10 +346,10 @@
      * @throws IOException If an address cannot be bound.
      */
     public void run() throws IOException {
-        callerServer.setPaused(AcceptPause.STARTING, !context.isReadyToRoute());
-        reactor.delayBackground(
-                MAXIMUM_START_PAUSE_MILLIS,
-                () -> callerServer.setPaused(AcceptPause.STARTING, false));
+        if (!context.isReadyToRoute()) {
+            callerServer.pause();
+            reactor.delayBackground(MAXIMUM_START_PAUSE_MILLIS, callerServer::resume);
+        }
         callerServer.listen();
         ready.listen();
         metricsServer.listen();
--- a/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/exchange/RequestHandler.java
+++ b/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/exchange/RequestHandler.java
@@ -16,7 +16,6 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.Set;
-import java.util.function.Consumer;
 
 /**
  * Accepts requests, finds their route and workspace, and starts an exchange for each. An instance
@@ -55,11 +54,10 @@
      * Creates a handler that accepts requests.
      *
      * @param context The state that all requests share.
-     * @param backlogListener Called with whether more requests were received than could be started.
      */
-    public RequestHandler(GatewayContext context, Consumer<Boolean> backlogListener) {
+    public RequestHandler(GatewayContext context) {
         this.context = context;
-        starter = new RequestStarter(context, backlogListener);
+        starter = new RequestStarter(context);
     }
 
     /**
--- a/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/exchange/RequestStarter.java
+++ b/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/exchange/RequestStarter.java
@@ -4,7 +4,6 @@
 import java.util.HashSet;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
-import java.util.function.Consumer;
 
 /**
  * Starts received requests after all input of the event loop's iteration was handled, and for a
@@ -31,9 +30,6 @@
     /** The requests that are to be started. */
     private final ArrivalQueue<Startable> queue = new ArrivalQueue<>();
 
-    /** Called with whether requests are left over after an iteration. */
-    private final Consumer<Boolean> backlogListener;
-
     /** Whether the next run is scheduled. */
     private boolean isScheduled;
 
@@ -41,11 +37,9 @@
      * Creates a starter without requests.
      *
      * @param context Supplies the clock and the event loop.
-     * @param backlogListener Called with whether requests are left over after an iteration.
      */
-    RequestStarter(GatewayContext context, Consumer<Boolean> backlogListener) {
+    RequestStarter(GatewayContext context) {
         this.context = context;
-        this.backlogListener = backlogListener;
     }
 
     /**
@@ -102,9 +96,7 @@
                 break;
             }
         }
-        boolean isBehind = !queue.isEmpty();
-        backlogListener.accept(isBehind);
-        if (isBehind && !isScheduled) {
+        if (!queue.isEmpty() && !isScheduled) {
             isScheduled = true;
             context.reactor().postNext(this::startRequests);
         }
--- a/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/front/CallerConnection.java
+++ b/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/front/CallerConnection.java
@@ -91,7 +91,7 @@
         this.server = server;
         this.requestLimits = limits;
         acceptedMillis = server.nowMillis();
-        establishedMillis = server.earliestArrivalMillis();
+        establishedMillis = server.earliestEstablishmentMillis();
         connection =
                 HttpConnection.of(
                         socket, this, new StrictRequestDecoder(limits.headerBytes()), encoder);
@@ -141,7 +141,9 @@
      */
     private long earliestArrivalMillis() {
         long earliestMillis = server.earliestArrivalMillis();
-        return earliestMillis <= acceptedMillis + 1 ? establishedMillis : earliestMillis;
+        return earliestMillis <= acceptedMillis + FrontHttpServer.ROUNDING_MILLIS
+                ? establishedMillis
+                : earliestMillis;
     }
 
     @Override
--- a/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/front/FrontHttpServer.java
+++ b/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/front/FrontHttpServer.java
@@ -14,7 +14,6 @@
 import java.nio.channels.SelectionKey;
 import java.nio.channels.ServerSocketChannel;
 import java.nio.channels.SocketChannel;
-import java.util.EnumSet;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Set;
@@ -28,6 +27,15 @@
     /** The accept backlog, large enough for all callers of a zone to connect at once. */
     private static final int ACCEPT_BACKLOG = 1_024;
 
+    /**
+     * The time in milliseconds for which a connection is assumed to have waited if it was held
+     * during a pause: callers connect throughout the pause.
+     */
+    private static final long ASSUMED_PAUSE_MILLIS = 300;
+
+    /** The largest error in milliseconds of a comparison of two rounded times and a duration. */
+    static final long ROUNDING_MILLIS = 2;
+
     /** The options of a caller's socket. */
     private static final SocketSettings SOCKET_SETTINGS =
             SocketSettings.builder().withTcpNoDelay(true).build();
@@ -50,8 +58,11 @@
     /** The address to listen on. */
     private final InetSocketAddress address;
 
-    /** Why new connections are not accepted now. */
-    private final Set<AcceptPause> pauses = EnumSet.noneOf(AcceptPause.class);
+    /** Whether new connections are left to the operating system. */
+    private boolean isPaused;
+
+    /** The time in milliseconds at which accepting was resumed; far in the past before. */
+    private long resumedMillis = Long.MIN_VALUE / 2;
 
     /** The listening socket, or null if this server does not listen. */
     private @Nullable ServerSocketChannel listeningSocket;
@@ -112,15 +123,19 @@
     }
 
     /**
-     * Stops or resumes accepting connections. Connections that arrive in the meantime are held by
-     * the operating system.
-     *
-     * @param pause The reason.
-     * @param isPaused Whether the reason applies.
+     * Leaves new connections to the operating system, which holds them at no cost of processor
+     * time, until {@link #resume()} is called.
      */
-    public void setPaused(AcceptPause pause, boolean isPaused) {
-        boolean isChanged = isPaused ? pauses.add(pause) : pauses.remove(pause);
-        if (isChanged) {
+    public void pause() {
+        isPaused = true;
+        updateInterest();
+    }
+
+    /** Accepts connections again, if this server is paused. */
+    public void resume() {
+        if (isPaused) {
+            isPaused = false;
+            resumedMillis = reactor.currentTimeMillis();
             updateInterest();
         }
     }
@@ -130,7 +145,7 @@
         SelectionKey key =
                 listeningSocket == null ? null : listeningSocket.keyFor(reactor.ensureSelector());
         if (key != null && key.isValid()) {
-            key.interestOps(pauses.isEmpty() ? SelectionKey.OP_ACCEPT : 0);
+            key.interestOps(isPaused ? 0 : SelectionKey.OP_ACCEPT);
         }
     }
 
@@ -239,6 +254,19 @@
         return reactor.currentTimeMillis() - eventLoopLag.lagMillis();
     }
 
+    /**
+     * Returns the earliest time at which a connection that is accepted now can have been
+     * established. One that was held during a pause is assumed to have waited for a part of it.
+     *
+     * @return The time in milliseconds.
+     */
+    long earliestEstablishmentMillis() {
+        long earliestMillis = earliestArrivalMillis();
+        return earliestMillis <= resumedMillis + ROUNDING_MILLIS
+                ? earliestMillis - ASSUMED_PAUSE_MILLIS
+                : earliestMillis;
+    }
+
     /**
      * Reserves buffer memory for part of a request body.
      *
