Start the other requests after an unexpected error in one

Cause: found by reading: an error thrown while one request is started left those behind it in the queue until the next one arrived. Not seen in a run. Change: the next run of the queue is scheduled in any case. StarvedEventLoopTest, PlatformPathTest and FrontHttpServerTest pass.

--- a/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/exchange/RequestStarter.java
+++ b/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/exchange/RequestStarter.java
@@ -85,21 +85,32 @@
         queue.remove(request);
     }
 
-    /** Refuses the overdue requests, and starts others until the time of this iteration is over. */
+    /**
+     * Refuses the overdue requests, and starts others until the time of this iteration is over. An
+     * unexpected error in one request does not keep the others from being started.
+     */
     private void startRequests() {
         isScheduled = false;
-        queue.removeOverdue(context.nowMillis()).forEach(Startable::refuseOverdue);
+        try {
+            queue.removeOverdue(context.nowMillis()).forEach(Startable::refuseOverdue);
+            startUntilTimeIsOver();
+        } finally {
+            if (!queue.isEmpty() && !isScheduled) {
+                isScheduled = true;
+                context.reactor().postNext(this::startRequests);
+            }
+        }
+    }
+
+    /** Starts requests until none is left or the time of this iteration is over. */
+    private void startUntilTimeIsOver() {
         long endNanos = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(MAXIMUM_START_MILLIS);
         while (!queue.isEmpty()) {
             queue.removeNext(context.nowMillis()).ifPresent(Startable::start);
             if (System.nanoTime() - endNanos >= 0) {
-                break;
+                return;
             }
         }
-        if (!queue.isEmpty() && !isScheduled) {
-            isScheduled = true;
-            context.reactor().postNext(this::startRequests);
-        }
     }
 
     /** A request that was received and not started. */
