Log how a response was framed and what was left of its last event

Now request_ended and attempt_failed carry framing and partial_event_bytes, and endpoint_responses_total counts the framings. No decision changes.

--- a/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/exchange/Attempt.java
+++ b/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/exchange/Attempt.java
@@ -198,6 +198,7 @@
     @Override
     public void onHead(HttpResponse response, ResponseMetadata metadata) {
         head = response;
+        exchange.onHead(response);
         context.zoneReachability().recordContact(endpoint().zone(), context.nowMillis());
         metadata.load()
                 .ifPresent(
--- a/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/exchange/EventStreamSplitter.java
+++ b/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/exchange/EventStreamSplitter.java
@@ -54,6 +54,15 @@
         return remainder;
     }
 
+    /**
+     * Returns the number of bytes that follow the last complete event.
+     *
+     * @return The number of bytes.
+     */
+    int partialEventBytes() {
+        return partialEvent.size();
+    }
+
     /** Discards the bytes that follow the last complete event. */
     void dropPartialEvent() {
         partialEvent.reset();
--- a/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/exchange/Exchange.java
+++ b/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/exchange/Exchange.java
@@ -7,6 +7,7 @@
 import io.chicorytrestle.core.placement.Placement;
 import io.chicorytrestle.core.verdict.Verdict;
 import io.chicorytrestle.gateway.front.ResponseSink;
+import io.chicorytrestle.gateway.link.BodyFraming;
 import io.netty.buffer.ByteBuf;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpStatusClass;
@@ -76,10 +77,10 @@
             GatewayContext context, RoutedRequest routed, ResponseSink caller, long arrivedMillis) {
         this.context = context;
         this.routed = routed;
-        reporter = new RequestReporter(context, routed, arrivedMillis);
+        relay = new ResponseRelay(caller);
+        reporter = new RequestReporter(context, routed, relay, arrivedMillis);
         attempts =
                 new AttemptTracker(routed.route(), context.budgets().forService(routed.service()));
-        relay = new ResponseRelay(caller);
         completion = new RequestCompletion(context, reporter, attempts, relay);
         this.arrivedMillis = arrivedMillis;
         deadlineMillis =
@@ -177,6 +178,15 @@
         return routed.route().repeatability().isStream();
     }
 
+    /**
+     * Reports the head of an endpoint's response.
+     *
+     * @param head The head.
+     */
+    void onHead(HttpResponse head) {
+        reporter.reportResponse(BodyFraming.of(head));
+    }
+
     /**
      * Forwards the head of a response whose body is forwarded as it arrives, unless a previous
      * attempt already sent one.
--- a/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/exchange/RequestReporter.java
+++ b/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/exchange/RequestReporter.java
@@ -6,8 +6,10 @@
 import io.chicorytrestle.core.placement.Prompt;
 import io.chicorytrestle.core.placement.PromptPart;
 import io.chicorytrestle.core.placement.ServingEndpoint;
+import io.chicorytrestle.gateway.link.BodyFraming;
 import io.chicorytrestle.gateway.operations.LogFields;
 import io.netty.handler.codec.http.HttpResponseStatus;
+import org.jspecify.annotations.Nullable;
 
 /** Logs and counts the decisions on one request. */
 final class RequestReporter {
@@ -21,6 +23,12 @@
     /** The request, its route and its service. */
     private final RoutedRequest routed;
 
+    /** Supplies the number of bytes of an incomplete event. */
+    private final ResponseRelay relay;
+
+    /** The framing of the latest response of an endpoint, or null before the first one. */
+    private @Nullable BodyFraming framing;
+
     /** The time of arrival in milliseconds. */
     private final long arrivedMillis;
 
@@ -29,11 +37,14 @@
      *
      * @param context Supplies the clock, the metrics and the version of the routing table.
      * @param routed The request, its route and its service.
+     * @param relay Supplies the number of bytes of an incomplete event.
      * @param arrivedMillis The time of arrival in milliseconds.
      */
-    RequestReporter(GatewayContext context, RoutedRequest routed, long arrivedMillis) {
+    RequestReporter(
+            GatewayContext context, RoutedRequest routed, ResponseRelay relay, long arrivedMillis) {
         this.context = context;
         this.routed = routed;
+        this.relay = relay;
         this.arrivedMillis = arrivedMillis;
     }
 
@@ -64,6 +75,16 @@
         context.metrics().counter("placements_total", placement.reason().logName()).inc();
     }
 
+    /**
+     * Counts a response of an endpoint, and keeps its framing for the lines that follow.
+     *
+     * @param responseFraming How the response declares the end of its body.
+     */
+    void reportResponse(BodyFraming responseFraming) {
+        framing = responseFraming;
+        context.metrics().counter("endpoint_responses_total", responseFraming.logName()).inc();
+    }
+
     /**
      * Reports that an attempt failed, and the next step.
      *
@@ -80,6 +101,8 @@
                 .with(LogFields.REASON, cause)
                 .with(LogFields.VERDICT, attempts.verdict().name())
                 .with(LogFields.SENDS, attempts.sends())
+                .with(LogFields.FRAMING, framing == null ? null : framing.logName())
+                .with(LogFields.PARTIAL_EVENT_BYTES, relay.partialEventBytes())
                 .with(LogFields.ELAPSED_MILLIS, elapsedMillis())
                 .with(LogFields.OUTCOME, next.logName())
                 .log("attempt_failed");
@@ -104,6 +127,8 @@
                 .with(LogFields.OUTCOME, outcome)
                 .with(LogFields.VERDICT, attempts.verdict().name())
                 .with(LogFields.SENDS, attempts.sends())
+                .with(LogFields.FRAMING, framing == null ? null : framing.logName())
+                .with(LogFields.PARTIAL_EVENT_BYTES, relay.partialEventBytes())
                 .with(LogFields.ELAPSED_MILLIS, elapsedMillis())
                 .log("request_ended");
     }
--- a/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/exchange/ResponseRelay.java
+++ b/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/exchange/ResponseRelay.java
@@ -104,6 +104,15 @@
         caller.send(new DefaultLastHttpContent());
     }
 
+    /**
+     * Returns the number of bytes that follow the last complete event.
+     *
+     * @return The number of bytes, zero unless the response is an event stream.
+     */
+    int partialEventBytes() {
+        return splitter.partialEventBytes();
+    }
+
     /** Discards the part of an event that was not forwarded, before the stream is resumed. */
     void dropPartialEvent() {
         splitter.dropPartialEvent();
--- a/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/operations/LogFields.java
+++ b/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/operations/LogFields.java
@@ -36,6 +36,13 @@
     /** The status code of a response. */
     public static final MetadataKey<Integer> STATUS = MetadataKey.single("status", Integer.class);
 
+    /** How an endpoint's response declares the end of its body. */
+    public static final MetadataKey<String> FRAMING = MetadataKey.single("framing", String.class);
+
+    /** The number of bytes after the last complete event of a stream, which were not forwarded. */
+    public static final MetadataKey<Integer> PARTIAL_EVENT_BYTES =
+            MetadataKey.single("partial_event_bytes", Integer.class);
+
     /** The number of times the request was sent to an endpoint. */
     public static final MetadataKey<Integer> SENDS = MetadataKey.single("sends", Integer.class);
 
