--- a/chicorytrestle-bench/src/test/java/io/chicorytrestle/bench/DocumentationTest.java
+++ b/chicorytrestle-bench/src/test/java/io/chicorytrestle/bench/DocumentationTest.java
@@ -28,6 +28,9 @@
     private static final Pattern EXPERIMENT_ROW =
             Pattern.compile("^\\| `([a-z-]+)` \\|", Pattern.MULTILINE);
 
+    private static final Pattern KNOWN_RED_TEST =
+            Pattern.compile("@Tag\\(\"known-red\"\\)\\s+void (\\w+)\\(");
+
     @Test
     void testCommandsWhenDocumented() throws IOException {
         List<String> missing = new ArrayList<>();
@@ -64,6 +67,29 @@
         assertThat(documented, is(known));
     }
 
+    @Test
+    void testKnownRedTagsWhenComparedWithTheirList() throws IOException {
+        String list = Files.readString(ROOT.resolve("KNOWN-RED.txt"));
+        List<String> missing = new ArrayList<>();
+        for (Path source : testSources()) {
+            for (String test : matches(KNOWN_RED_TEST, Files.readString(source))) {
+                if (!list.contains(test)) {
+                    missing.add(source + ": " + test);
+                }
+            }
+        }
+        assertThat(missing, is(empty()));
+    }
+
+    private static List<Path> testSources() throws IOException {
+        try (Stream<Path> files = Files.walk(ROOT)) {
+            List<Path> sources =
+                    files.filter(file -> file.toString().endsWith("Test.java")).toList();
+            assertThat(sources, is(not(empty())));
+            return sources;
+        }
+    }
+
     private static List<Path> pages() throws IOException {
         try (Stream<Path> files = Files.walk(ROOT.resolve("docs"))) {
             List<Path> pages =
