Break off a stream that its endpoint ended inside an event

Cause: a response without a length and without chunks ends with its connection, so that an orderly end of the connection reaches the relay as the end of the body. The relay then forwarded the partial event and the last chunk. Nothing compared the end of the body with the boundaries of events, though the relay splits them already. Class of fault: the end of the transport taken for the end of the message.

Now the attempt asks, before it counts a stream as complete, whether it ends inside an event, or with its connection before any event. Such a stream is handled as a lost connection: resumed where the route allows it, else the caller's connection is closed. Blank lines and comments after the last event are forwarded as before. A failure on a streaming route is no event stream; one that is larger than the buffer was split into events, which would now cut it.

Ruled out: an end written for a failed attempt (request_ended had stream_completed and no attempt_failed). Elsewhere: the store's responses are JSON and fail to parse when truncated, the engines' protocol of the daemon and the peers' frames declare their end.

EventStreamSplitterTest's test of the forwarded partial event is replaced by two: inside an event, and blank lines and comments.

--- a/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/exchange/Attempt.java
+++ b/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/exchange/Attempt.java
@@ -297,6 +297,10 @@
         if (isEnded || response == null) {
             return;
         }
+        if (handling == ResponseHandling.STREAM && exchange.isBrokenOff(response)) {
+            onConnectionLost("stream was broken off");
+            return;
+        }
         end();
         String incarnation = endpoint().incarnation();
         boolean isServerError = response.status().codeClass() == HttpStatusClass.SERVER_ERROR;
--- a/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/exchange/EventStreamSplitter.java
+++ b/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/exchange/EventStreamSplitter.java
@@ -14,9 +14,15 @@
     /** The field that holds the identifier of an event. */
     private static final String ID_FIELD = "id:";
 
+    /** The begin of a line that is no part of an event. */
+    private static final String COMMENT_PREFIX = ":";
+
     /** The bytes of an event that is not complete yet. */
     private final ByteArrayOutputStream partialEvent = new ByteArrayOutputStream();
 
+    /** Whether no event was complete yet. */
+    private boolean isBeforeFirstEvent = true;
+
     /** The identifier of the last complete event that carried one. */
     private Optional<String> lastEventId = Optional.empty();
 
@@ -35,6 +41,7 @@
         if (end == 0) {
             return new byte[0];
         }
+        isBeforeFirstEvent = false;
         partialEvent.reset();
         partialEvent.write(buffered, end, buffered.length - end);
         byte[] completeEvents = new byte[end];
@@ -43,24 +50,46 @@
         return completeEvents;
     }
 
+    /**
+     * Returns the number of bytes that follow the last complete event.
+     *
+     * @return The number of bytes.
+     */
+    int partialEventBytes() {
+        return partialEvent.size();
+    }
+
+    /**
+     * Returns {@code true} if an event has begun and is not complete. Blank lines and comments are
+     * no part of an event.
+     *
+     * @return {@code true} if a field follows the last complete event.
+     */
+    boolean isInsideEvent() {
+        return partialEvent
+                .toString(StandardCharsets.ISO_8859_1)
+                .lines()
+                .anyMatch(line -> !line.isEmpty() && !line.startsWith(COMMENT_PREFIX));
+    }
+
     /**
      * Returns and clears the bytes that follow the last complete event.
      *
      * @return The bytes, possibly none.
      */
-    byte[] takePartialEvent() {
+    byte[] takeRemainder() {
         byte[] remainder = partialEvent.toByteArray();
         partialEvent.reset();
         return remainder;
     }
 
     /**
-     * Returns the number of bytes that follow the last complete event.
+     * Returns {@code true} if no event was complete yet.
      *
-     * @return The number of bytes.
+     * @return {@code true} if {@link #append} has returned no bytes so far.
      */
-    int partialEventBytes() {
-        return partialEvent.size();
+    boolean isBeforeFirstEvent() {
+        return isBeforeFirstEvent;
     }
 
     /** Discards the bytes that follow the last complete event. */
--- a/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/exchange/Exchange.java
+++ b/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/exchange/Exchange.java
@@ -200,7 +200,8 @@
             context.metrics()
                     .histogram("answer_start_ms")
                     .update(context.nowMillis() - arrivedMillis);
-            relay.start(head, isStream());
+            boolean isSuccess = head.status().codeClass() == HttpStatusClass.SUCCESS;
+            relay.start(head, isStream() && isSuccess);
         }
         from.progressMonitor().recordProgress();
     }
@@ -218,6 +219,16 @@
         }
     }
 
+    /**
+     * Returns {@code true} if a response that ends now cannot be complete.
+     *
+     * @param head The head of the response.
+     * @return {@code true} if it is an event stream that was broken off.
+     */
+    boolean isBrokenOff(HttpResponse head) {
+        return relay.isBrokenOff(BodyFraming.of(head), routed.request().lastEventId().isPresent());
+    }
+
     /**
      * Completes a response that was forwarded as it arrived.
      *
--- a/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/exchange/ResponseRelay.java
+++ b/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/exchange/ResponseRelay.java
@@ -1,6 +1,7 @@
 package io.chicorytrestle.gateway.exchange;
 
 import io.chicorytrestle.gateway.front.ResponseSink;
+import io.chicorytrestle.gateway.link.BodyFraming;
 import io.chicorytrestle.gateway.link.HopByHopHeaders;
 import io.chicorytrestle.gateway.link.LocalResponses;
 import io.netty.buffer.ByteBuf;
@@ -98,12 +99,28 @@
         return bytes.length > 0;
     }
 
-    /** Forwards what is left of an event stream, and ends the body. */
+    /** Forwards what follows the last event of an event stream, and ends the body. */
     void complete() {
-        sendBytes(splitter.takePartialEvent());
+        sendBytes(splitter.takeRemainder());
         caller.send(new DefaultLastHttpContent());
     }
 
+    /**
+     * Returns {@code true} if an event stream cannot be complete where it ends now.
+     *
+     * @param framing How the endpoint's response declares the end of its body.
+     * @param isResumed Whether the stream continues one whose last event the caller may know.
+     * @return {@code true} if the stream ends inside an event, or with its connection before the
+     *     first event.
+     */
+    boolean isBrokenOff(BodyFraming framing, boolean isResumed) {
+        return isEventStream
+                && (splitter.isInsideEvent()
+                        || (framing == BodyFraming.CONNECTION_END
+                                && !isResumed
+                                && splitter.isBeforeFirstEvent()));
+    }
+
     /**
      * Returns the number of bytes that follow the last complete event.
      *
--- a/chicorytrestle-gateway/src/test/java/io/chicorytrestle/gateway/exchange/EventStreamSplitterTest.java
+++ b/chicorytrestle-gateway/src/test/java/io/chicorytrestle/gateway/exchange/EventStreamSplitterTest.java
@@ -46,12 +46,23 @@
     }
 
     @Test
-    void testTakePartialEventWhenStreamEndsWithoutBlankLine() {
+    void testIsInsideEventWhenStreamEndsWithoutBlankLine() {
         append("id: 1\ndata: a\n\ntail");
+        assertThat(splitter.isInsideEvent(), equalTo(true));
 
+        splitter.dropPartialEvent();
+        assertThat(splitter.isInsideEvent(), equalTo(false));
+    }
+
+    @Test
+    void testIsInsideEventWhenOnlyBlankLineAndCommentFollowEvent() {
+        append("id: 1\ndata: a\n\n");
+        assertThat(append("\n: alive"), equalTo(""));
+
+        assertThat(splitter.isInsideEvent(), equalTo(false));
         assertThat(
-                new String(splitter.takePartialEvent(), StandardCharsets.UTF_8), equalTo("tail"));
-        assertThat(splitter.takePartialEvent().length, equalTo(0));
+                new String(splitter.takeRemainder(), StandardCharsets.UTF_8), equalTo("\n: alive"));
+        assertThat(splitter.takeRemainder().length, equalTo(0));
     }
 
     private String append(String text) {
