Quarantine prompt parts that crash endpoints, whatever else the request holds

Cause: crashes were counted by a hash of the whole request.

Now each shared part of the requests that an endpoint ran when it crashed is a suspect. A completed request clears its parts, an answer of the endpoint later than a second after its crash disproves the crash. Three crashes that no part with more crashes explains, while at least four other requests completed here, lead to quarantine; parts under which the same endpoints crashed hold back only requests with all of them. Notices travel in heartbeats, as those of contents.

Ruled out: clearing at the first event (a request wrote for 80 ms before the crash); counting the crashes of one moment once.

--- /dev/null
+++ b/chicorytrestle-core/src/main/java/io/chicorytrestle/core/poison/PartCrashTracker.java
@@ -0,0 +1,319 @@
+package io.chicorytrestle.core.poison;
+
+import java.util.Collection;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Objects;
+import java.util.Optional;
+import java.util.Set;
+
+/**
+ * Quarantines prompt parts that crash the endpoints which answer requests with them, whatever else
+ * these requests hold. All shared parts of the requests that an endpoint ran when it crashed are
+ * suspects; a part is cleared when a request with it completes, and an endpoint's crash is
+ * disproved when the endpoint answers later. This class is not thread-safe: it is confined to one
+ * thread.
+ */
+public final class PartCrashTracker {
+
+    /** The number of crashed endpoints, not explained by another part, that lead to quarantine. */
+    private static final int QUARANTINE_THRESHOLD = 3;
+
+    /**
+     * The number of other requests that must have completed here since the first crash: while none
+     * completes, endpoints fail for another reason than the part.
+     */
+    private static final int MINIMUM_OTHER_COMPLETIONS = 4;
+
+    /** The time in milliseconds after the last change at which a part is forgotten. */
+    private static final long RETENTION_MILLIS = 600_000;
+
+    /**
+     * The time in milliseconds after a crash within which answers of the endpoint may have been
+     * sent before it.
+     */
+    private static final long CRASH_SETTLING_MILLIS = 1_000;
+
+    /**
+     * The time in milliseconds for which a change is sent to other instances: a few heartbeats to
+     * each.
+     */
+    private static final long NOTICE_PERIOD_MILLIS = 3_000;
+
+    /** The maximum number of notices in one heartbeat, which keeps them below a kilobyte. */
+    private static final int MAXIMUM_NOTICES = 16;
+
+    /** The maximum number of recorded parts. */
+    private static final int MAXIMUM_ENTRIES = 1_024;
+
+    /** The crashes by the identifier of the part. */
+    private final Map<String, Entry> entries = new HashMap<>();
+
+    /** The number of requests that completed at this instance. */
+    private long completions;
+
+    /**
+     * Records an endpoint that broke the connection on which it ran a request.
+     *
+     * @param parts The identifiers of the request's shared prompt parts.
+     * @param incarnation The incarnation of the endpoint.
+     * @param nowMillis The current time in milliseconds.
+     */
+    public void recordCrash(Collection<String> parts, String incarnation, long nowMillis) {
+        for (String part : parts) {
+            recordCrash(part, incarnation, true, nowMillis);
+        }
+    }
+
+    /**
+     * Records a crash under one part. If the tracker is full, the least suspicious part yields.
+     *
+     * @param part The identifier of the part.
+     * @param incarnation The incarnation of the endpoint.
+     * @param isWitnessed Whether this instance lost the connection itself.
+     * @param nowMillis The current time in milliseconds.
+     */
+    private void recordCrash(String part, String incarnation, boolean isWitnessed, long nowMillis) {
+        Entry entry = entries.get(part);
+        if (entry == null) {
+            if (entries.size() >= MAXIMUM_ENTRIES) {
+                evictLeastSuspicious();
+            }
+            entry = new Entry();
+            entries.put(part, entry);
+        }
+        if (entry.crashMillis.isEmpty()) {
+            entry.completionsBefore = completions;
+        }
+        if (entry.crashMillis.putIfAbsent(incarnation, nowMillis) == null) {
+            entry.isWitnessed |= isWitnessed;
+            entry.changedMillis = nowMillis;
+        }
+    }
+
+    /** Removes the part with the fewest crashes, the oldest one among equals. */
+    private void evictLeastSuspicious() {
+        entries.entrySet().stream()
+                .min(
+                        Comparator.comparingInt(
+                                        (Map.Entry<String, Entry> entry) ->
+                                                entry.getValue().crashMillis.size())
+                                .thenComparingLong(entry -> entry.getValue().changedMillis))
+                .map(Map.Entry::getKey)
+                .ifPresent(entries::remove);
+    }
+
+    /**
+     * Records a request that completed, which clears its parts.
+     *
+     * @param parts The identifiers of the request's shared prompt parts.
+     * @param nowMillis The current time in milliseconds.
+     */
+    public void recordCompletion(Collection<String> parts, long nowMillis) {
+        completions++;
+        for (String part : parts) {
+            clear(part, true, nowMillis);
+        }
+    }
+
+    /**
+     * Clears a part, if it is recorded.
+     *
+     * @param part The identifier of the part.
+     * @param isWitnessed Whether the request completed at this instance.
+     * @param nowMillis The current time in milliseconds.
+     */
+    private void clear(String part, boolean isWitnessed, long nowMillis) {
+        Entry entry = entries.get(part);
+        if (entry != null && !entry.crashMillis.isEmpty()) {
+            entry.crashMillis.clear();
+            entry.isWitnessed = isWitnessed;
+            entry.changedMillis = nowMillis;
+        }
+    }
+
+    /**
+     * Records an answer of an endpoint, which shows that it did not crash before.
+     *
+     * @param incarnation The incarnation of the endpoint.
+     * @param nowMillis The current time in milliseconds.
+     */
+    public void recordAnswer(String incarnation, long nowMillis) {
+        if (entries.isEmpty()) {
+            return;
+        }
+        entries.values()
+                .removeIf(
+                        entry -> {
+                            Long crashMillis = entry.crashMillis.get(incarnation);
+                            if (crashMillis == null
+                                    || nowMillis - crashMillis <= CRASH_SETTLING_MILLIS) {
+                                return false;
+                            }
+                            entry.crashMillis.remove(incarnation);
+                            return entry.crashMillis.isEmpty();
+                        });
+    }
+
+    /**
+     * Returns the first part because of which a request must not run. Parts under which the same
+     * endpoints crashed cannot be told apart: a request must hold all of them to be held back.
+     *
+     * @param parts The identifiers of a request's shared prompt parts.
+     * @return The identifier of the part, or empty if the request may run.
+     */
+    public Optional<String> findQuarantined(Collection<String> parts) {
+        if (entries.isEmpty()) {
+            return Optional.empty();
+        }
+        return parts.stream()
+                .filter(this::isQuarantined)
+                .filter(part -> parts.containsAll(indistinguishableFrom(part)))
+                .findFirst();
+    }
+
+    /**
+     * Returns the parts under which the same endpoints crashed as under a given one.
+     *
+     * @param part The identifier of a recorded part.
+     * @return The identifiers of the parts, including the given one.
+     */
+    private Set<String> indistinguishableFrom(String part) {
+        Entry entry = entries.get(part);
+        Set<String> parts = new HashSet<>(entries.keySet());
+        parts.removeIf(
+                other ->
+                        entry == null
+                                || !Objects.requireNonNull(entries.get(other))
+                                        .crashMillis
+                                        .keySet()
+                                        .equals(entry.crashMillis.keySet()));
+        return parts;
+    }
+
+    /**
+     * Returns the parts in quarantine, including those that cannot be told apart.
+     *
+     * @return The identifiers of the parts.
+     */
+    public Set<String> quarantined() {
+        Set<String> parts = new HashSet<>(entries.keySet());
+        parts.removeIf(part -> !isQuarantined(part));
+        return parts;
+    }
+
+    /**
+     * Returns {@code true} if a part is in quarantine. Crashes under a part with more crashes are
+     * explained by that part.
+     *
+     * @param part The identifier of the part.
+     * @return {@code true} if the crashes under the part suffice for a quarantine.
+     */
+    private boolean isQuarantined(String part) {
+        Entry entry = entries.get(part);
+        if (entry == null
+                || entry.crashMillis.size() < QUARANTINE_THRESHOLD
+                || completions - entry.completionsBefore < MINIMUM_OTHER_COMPLETIONS) {
+            return false;
+        }
+        Set<String> unexplained = new HashSet<>(entry.crashMillis.keySet());
+        for (Entry other : entries.values()) {
+            if (other.crashMillis.size() > entry.crashMillis.size()) {
+                unexplained.removeAll(other.crashMillis.keySet());
+            }
+        }
+        return unexplained.size() >= QUARANTINE_THRESHOLD;
+    }
+
+    /**
+     * Returns notices of recent changes, which are sent to other instances: those that this
+     * instance witnessed, and parts under which several endpoints crashed.
+     *
+     * @param nowMillis The current time in milliseconds.
+     * @return The notices, those with the most crashes first.
+     */
+    public List<CrashNotice> recentNotices(long nowMillis) {
+        return entries.entrySet().stream()
+                .filter(entry -> entry.getValue().isNoticeDue(nowMillis))
+                .map(
+                        entry ->
+                                new CrashNotice(
+                                        entry.getKey(),
+                                        List.copyOf(entry.getValue().crashMillis.keySet())))
+                .sorted(
+                        Comparator.comparingInt(
+                                        (CrashNotice notice) -> notice.incarnations().size())
+                                .reversed())
+                .limit(MAXIMUM_NOTICES)
+                .toList();
+    }
+
+    /**
+     * Records a notice from another instance. Crashes under a part that was cleared lately are
+     * ignored, since the notice may be outdated.
+     *
+     * @param notice The notice, whose fingerprint is the identifier of the part.
+     * @param nowMillis The current time in milliseconds.
+     */
+    public void recordNotice(CrashNotice notice, long nowMillis) {
+        if (notice.isCleared()) {
+            clear(notice.fingerprint(), false, nowMillis);
+            return;
+        }
+        Entry entry = entries.get(notice.fingerprint());
+        if (entry == null || !entry.crashMillis.isEmpty()) {
+            for (String incarnation : notice.incarnations()) {
+                recordCrash(notice.fingerprint(), incarnation, false, nowMillis);
+            }
+        }
+    }
+
+    /**
+     * Removes crashes that are too old to count, and cleared parts whose notice was sent.
+     *
+     * @param nowMillis The current time in milliseconds.
+     */
+    public void removeExpired(long nowMillis) {
+        entries.values()
+                .removeIf(
+                        entry ->
+                                nowMillis - entry.changedMillis
+                                        > (entry.crashMillis.isEmpty()
+                                                ? NOTICE_PERIOD_MILLIS
+                                                : RETENTION_MILLIS));
+    }
+
+    /** Holds the crashes under one part. */
+    private static final class Entry {
+
+        /**
+         * The times in milliseconds at which crashes were recorded, by incarnation of the endpoint;
+         * empty if the part was cleared.
+         */
+        private final Map<String, Long> crashMillis = new LinkedHashMap<>();
+
+        /** The number of requests that had completed before the first crash. */
+        private long completionsBefore;
+
+        /** Whether this instance itself witnessed a crash or the completion that cleared it. */
+        private boolean isWitnessed;
+
+        /** The time of the last change in milliseconds. */
+        private long changedMillis;
+
+        /**
+         * Returns {@code true} if a change is to be sent to other instances.
+         *
+         * @param nowMillis The current time in milliseconds.
+         * @return {@code true} if it is recent, and was witnessed here or is a strong suspicion.
+         */
+        private boolean isNoticeDue(long nowMillis) {
+            return nowMillis - changedMillis < NOTICE_PERIOD_MILLIS
+                    && (isWitnessed || crashMillis.size() > 1);
+        }
+    }
+}
--- /dev/null
+++ b/chicorytrestle-core/src/test/java/io/chicorytrestle/core/poison/PartCrashTrackerTest.java
@@ -0,0 +1,172 @@
+package io.chicorytrestle.core.poison;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.equalTo;
+import static org.hamcrest.Matchers.hasItem;
+import static org.hamcrest.Matchers.hasSize;
+import static org.hamcrest.Matchers.is;
+import static org.hamcrest.Matchers.lessThanOrEqualTo;
+import static org.hamcrest.Matchers.not;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.Random;
+import java.util.Set;
+import org.junit.jupiter.api.Test;
+
+class PartCrashTrackerTest {
+
+    private final PartCrashTracker tracker = new PartCrashTracker();
+
+    @Test
+    void testQuarantineWhenThreeEndpointsCrashedUnderPart() {
+        crash("e1", 0, "base", "dead");
+        crash("e2", 10, "base", "dead");
+        completeOthers("base");
+        assertThat(tracker.quarantined(), is(Set.of()));
+        crash("e3", 20, "base", "dead");
+
+        assertThat(tracker.findQuarantined(List.of("base", "dead")), equalTo(Optional.of("dead")));
+        assertThat(tracker.findQuarantined(List.of("base", "feed")), equalTo(Optional.empty()));
+    }
+
+    @Test
+    void testQuarantineWhenAllEndpointsCrashBeforeAnyRequestCompletes() {
+        for (int index = 0; index < 6; index++) {
+            crash("e" + index, index, "base", "feed" + index);
+        }
+        assertThat(tracker.quarantined(), is(Set.of()));
+    }
+
+    @Test
+    void testQuarantineWhenPartOnlyAccompaniedOneWithMoreCrashes() {
+        for (int index = 0; index < 3; index++) {
+            crash("e" + index, index, "dead");
+            crash("e" + index, index, "feed");
+        }
+        crash("e3", 3, "dead");
+        completeOthers("base");
+
+        assertThat(tracker.quarantined(), is(Set.of("dead")));
+    }
+
+    @Test
+    void testQuarantineWhenTwoPartsCannotBeToldApart() {
+        for (int index = 0; index < 3; index++) {
+            crash("e" + index, index, "feed", "dead");
+        }
+        completeOthers("base");
+
+        assertThat(tracker.findQuarantined(List.of("feed", "dead")), is(Optional.of("feed")));
+        assertThat(tracker.findQuarantined(List.of("feed")), is(Optional.empty()));
+
+        crash("e3", 3, "dead");
+        assertThat(tracker.findQuarantined(List.of("dead")), is(Optional.of("dead")));
+    }
+
+    @Test
+    void testQuarantineWhenEndpointsAnswerLater() {
+        for (int index = 0; index < 3; index++) {
+            crash("e" + index, 0, "feed");
+        }
+        completeOthers("base");
+        assertThat(tracker.quarantined(), is(Set.of("feed")));
+
+        tracker.recordAnswer("e1", 500);
+        assertThat(tracker.quarantined(), is(Set.of("feed")));
+        tracker.recordAnswer("e1", 1_500);
+        assertThat(tracker.quarantined(), is(Set.of()));
+    }
+
+    @Test
+    void testQuarantineWhenOldNoticeFollowsCompletionNotice() {
+        crash("e1", 0, "feed");
+        tracker.recordNotice(new CrashNotice("feed", List.of()), 10);
+        tracker.recordNotice(new CrashNotice("feed", List.of("e1", "e2", "e3")), 20);
+        completeOthers("base");
+        assertThat(tracker.quarantined(), is(Set.of()));
+    }
+
+    @Test
+    void testRecentNoticesWhenPartsOfOtherInstancesAreWeakSuspects() {
+        tracker.recordNotice(new CrashNotice("weak", List.of("e1")), 0);
+        tracker.recordNotice(new CrashNotice("strong", List.of("e1", "e2")), 0);
+        crash("e3", 0, "own");
+
+        List<CrashNotice> notices = tracker.recentNotices(100);
+        assertThat(notices, hasSize(2));
+        assertThat(notices.get(0).fingerprint(), equalTo("strong"));
+        assertThat(notices.get(1).fingerprint(), equalTo("own"));
+    }
+
+    @Test
+    void testRecordCrashWhenTrackerIsFull() {
+        crash("e1", 0, "dead");
+        crash("e2", 1, "dead");
+        for (int index = 0; index < 2_000; index++) {
+            crash("e3", 2, "feed" + index);
+        }
+        crash("e4", 3, "dead");
+        completeOthers("base");
+        assertThat(tracker.quarantined(), is(Set.of("dead")));
+    }
+
+    /**
+     * Guards against a part that crashes endpoint after endpoint: at each instance in turn, a crash
+     * breaks the dead request and sound ones beside it, and sound requests go on completing.
+     */
+    @Test
+    void testCrashesWhenRequestsWithPartComeAtEachInstance() {
+        Random random = new Random(5);
+        List<PartCrashTracker> fleet = new ArrayList<>();
+        for (int index = 0; index < 20; index++) {
+            fleet.add(new PartCrashTracker());
+        }
+        int crashes = 0;
+        for (int nowMillis = 0; nowMillis < 60_000; nowMillis += 500) {
+            PartCrashTracker called = fleet.get(random.nextInt(fleet.size()));
+            if (called.findQuarantined(List.of("base", "dead")).isEmpty()) {
+                called.recordCrash(List.of("base", "dead"), "e" + crashes, nowMillis);
+                for (int broken = 0; broken < 8; broken++) {
+                    fleet.get(random.nextInt(fleet.size()))
+                            .recordCrash(soundParts(random), "e" + crashes, nowMillis);
+                }
+                crashes++;
+            }
+            for (int completed = 0; completed < 20; completed++) {
+                fleet.get(random.nextInt(fleet.size()))
+                        .recordCompletion(soundParts(random), nowMillis);
+            }
+            if (nowMillis % 1_000 == 0) {
+                exchangeNotices(fleet, nowMillis);
+            }
+            for (PartCrashTracker instance : fleet) {
+                assertThat(instance.quarantined(), is(not(hasItem("base"))));
+            }
+        }
+        assertThat(crashes, lessThanOrEqualTo(5));
+    }
+
+    private static List<String> soundParts(Random random) {
+        return List.of("base", "feed" + random.nextInt(100));
+    }
+
+    private static void exchangeNotices(List<PartCrashTracker> fleet, long nowMillis) {
+        for (PartCrashTracker sender : fleet) {
+            for (CrashNotice notice : sender.recentNotices(nowMillis)) {
+                fleet.forEach(receiver -> receiver.recordNotice(notice, nowMillis));
+            }
+        }
+    }
+
+    private void crash(String incarnation, long nowMillis, String... parts) {
+        tracker.recordCrash(List.of(parts), incarnation, nowMillis);
+    }
+
+    private void completeOthers(String... parts) {
+        for (int index = 0; index < 4; index++) {
+            tracker.recordCompletion(List.of(parts), 15);
+        }
+    }
+}
--- a/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/exchange/Attempt.java
+++ b/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/exchange/Attempt.java
@@ -200,6 +200,7 @@
         head = response;
         exchange.onHead(response);
         context.zoneReachability().recordContact(endpoint().zone(), context.nowMillis());
+        context.partCrashes().recordAnswer(endpoint().incarnation(), context.nowMillis());
         metadata.load()
                 .ifPresent(
                         load ->
--- a/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/exchange/Exchange.java
+++ b/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/exchange/Exchange.java
@@ -273,7 +273,8 @@
         int crashes =
                 routed.crashHistory()
                         .recordCrash(from.endpoint().incarnation(), context.nowMillis());
-        if (crashes - attempts.sends() >= OTHER_CRASHES_FORBIDDING_RETRY) {
+        if (crashes - attempts.sends() >= OTHER_CRASHES_FORBIDDING_RETRY
+                || routed.crashHistory().quarantinedPart().isPresent()) {
             attempts.forbidRetries();
         }
         onAttemptFailed(from, Verdict.MAY_HAVE_RUN, cause);
--- a/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/exchange/GatewayContext.java
+++ b/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/exchange/GatewayContext.java
@@ -15,6 +15,7 @@
 import io.chicorytrestle.core.placement.ServingView;
 import io.chicorytrestle.core.placement.ZoneReachability;
 import io.chicorytrestle.core.poison.CrashTracker;
+import io.chicorytrestle.core.poison.PartCrashTracker;
 import io.chicorytrestle.core.route.RouteTopics;
 import io.chicorytrestle.core.route.RoutingTable;
 import io.chicorytrestle.gateway.dialect.HeaderDialect;
@@ -76,12 +77,18 @@
     /** Counts the crashes of endpoints by the content of the requests they ran. */
     private final CrashTracker crashes = new CrashTracker();
 
+    /** Counts the crashes of endpoints by the prompt parts of the requests they ran. */
+    private final PartCrashTracker partCrashes = new PartCrashTracker();
+
     /** Limits the retries for each service. */
     private final RetryBudgets budgets;
 
     /** The requests under way. */
     private final Set<Exchange> exchanges = new HashSet<>();
 
+    /** The prompt parts in quarantine when they were last logged. */
+    private Set<String> lastQuarantinedParts = Set.of();
+
     /** The unreachable zones at the last step, for logging changes. */
     private Set<String> lastUnreachableZones = Set.of();
 
@@ -207,6 +214,18 @@
         exchanges.remove(exchange);
     }
 
+    /** Logs the prompt parts in quarantine if they changed. */
+    private void reportQuarantinedParts() {
+        Set<String> quarantined = partCrashes.quarantined();
+        if (!quarantined.equals(lastQuarantinedParts)) {
+            LOGGER.atWarning()
+                    .with(LogFields.OUTCOME, quarantined.toString())
+                    .with(LogFields.REASON, lastQuarantinedParts.toString())
+                    .log("quarantined_parts_changed");
+            lastQuarantinedParts = quarantined;
+        }
+    }
+
     /**
      * Removes expired state, and moves requests that may be repeated away from unreachable zones.
      *
@@ -217,6 +236,8 @@
         connectionHealth.removeExpired(nowMillis);
         outcomes.removeNegligible(nowMillis);
         crashes.removeExpired(nowMillis);
+        partCrashes.removeExpired(nowMillis);
+        reportQuarantinedParts();
         endpointConnections.closeExpired();
         Set<String> unreachable = zoneReachability.unreachable(nowMillis);
         if (!unreachable.equals(lastUnreachableZones)) {
@@ -301,7 +322,8 @@
      * @return A new record of the trackers of this context.
      */
     public PeerObservations observations() {
-        return new PeerObservations(loads, outcomes, crashes, zoneReachability, promptHolders);
+        return new PeerObservations(
+                loads, outcomes, crashes, partCrashes, zoneReachability, promptHolders);
     }
 
     /**
@@ -313,6 +335,15 @@
         return crashes;
     }
 
+    /**
+     * Returns the crashes of endpoints by prompt part.
+     *
+     * @return The crashes by identifier of the part.
+     */
+    PartCrashTracker partCrashes() {
+        return partCrashes;
+    }
+
     /**
      * Returns the picker of endpoints.
      *
--- a/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/exchange/RequestCrashHistory.java
+++ b/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/exchange/RequestCrashHistory.java
@@ -1,6 +1,9 @@
 package io.chicorytrestle.gateway.exchange;
 
+import io.chicorytrestle.core.placement.Prompt;
+import io.chicorytrestle.core.placement.PromptPart;
 import io.chicorytrestle.core.poison.CrashTracker;
+import io.chicorytrestle.core.poison.PartCrashTracker;
 import io.chicorytrestle.core.route.Workspace;
 import io.netty.handler.codec.http.HttpRequest;
 import java.nio.ByteBuffer;
@@ -8,13 +11,15 @@
 import java.security.MessageDigest;
 import java.security.NoSuchAlgorithmException;
 import java.util.HexFormat;
+import java.util.List;
 import java.util.Optional;
 import org.jspecify.annotations.Nullable;
 
 /**
  * Records and looks up how often endpoints crashed while they executed requests with the same
- * content as a given request. The content is not hashed while no crash of any request is recorded.
- * This class is not thread-safe: it is confined to the event loop's thread.
+ * content as a given request, or with one of its prompt parts. The content is not hashed while no
+ * crash of any request is recorded. This class is not thread-safe: it is confined to the event
+ * loop's thread.
  */
 final class RequestCrashHistory {
 
@@ -27,6 +32,12 @@
     /** The recorded crashes by the fingerprint of the request. */
     private final CrashTracker tracker;
 
+    /** The recorded crashes by prompt part. */
+    private final PartCrashTracker partTracker;
+
+    /** The identifiers of the prompt parts that other requests may share. */
+    private final List<String> sharedParts;
+
     /** The workspace, or empty if the caller has none. */
     private final Optional<Workspace> workspace;
 
@@ -43,27 +54,50 @@
      * Creates a history for one request.
      *
      * @param tracker The recorded crashes by the fingerprint of the request.
+     * @param partTracker The recorded crashes by prompt part.
+     * @param prompt The prompt, or empty if the request is no model request.
      * @param workspace The workspace, or empty if the caller has none.
      * @param head The request line and headers as the caller sent them.
      * @param body The body as the caller sent it.
      */
     RequestCrashHistory(
-            CrashTracker tracker, Optional<Workspace> workspace, HttpRequest head, byte[] body) {
+            CrashTracker tracker,
+            PartCrashTracker partTracker,
+            Optional<Prompt> prompt,
+            Optional<Workspace> workspace,
+            HttpRequest head,
+            byte[] body) {
         this.tracker = tracker;
+        this.partTracker = partTracker;
+        sharedParts =
+                prompt.stream()
+                        .flatMap(described -> described.sharedParts().stream())
+                        .map(PromptPart::id)
+                        .toList();
         this.workspace = workspace;
         this.head = head;
         this.body = body;
     }
 
     /**
-     * Returns {@code true} if endpoints crashed so often under requests with this content that none
-     * may be executed now.
+     * Returns {@code true} if endpoints crashed so often under requests with this content, or with
+     * a part of this prompt, that none may be executed now.
      *
      * @param nowMillis The current time in milliseconds.
      * @return {@code true} if the request must be refused.
      */
     boolean isQuarantined(long nowMillis) {
-        return !tracker.isEmpty() && tracker.isQuarantined(fingerprint(), nowMillis);
+        return quarantinedPart().isPresent()
+                || (!tracker.isEmpty() && tracker.isQuarantined(fingerprint(), nowMillis));
+    }
+
+    /**
+     * Returns the prompt part because of which the request must be refused.
+     *
+     * @return The identifier of the part, or empty if no part is in quarantine.
+     */
+    Optional<String> quarantinedPart() {
+        return partTracker.findQuarantined(sharedParts);
     }
 
     /**
@@ -74,6 +108,7 @@
      * @return The number of endpoints that crashed under requests with the same content.
      */
     int recordCrash(String incarnation, long nowMillis) {
+        partTracker.recordCrash(sharedParts, incarnation, nowMillis);
         tracker.recordCrash(fingerprint(), incarnation, nowMillis);
         return tracker.crashCount(fingerprint());
     }
@@ -84,6 +119,7 @@
      * @param nowMillis The current time in milliseconds.
      */
     void recordSuccess(long nowMillis) {
+        partTracker.recordCompletion(sharedParts, nowMillis);
         if (!tracker.isEmpty()) {
             tracker.recordCompletion(fingerprint(), nowMillis);
         }
--- a/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/exchange/RequestHandler.java
+++ b/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/exchange/RequestHandler.java
@@ -254,7 +254,13 @@
                 return;
             }
             RequestCrashHistory crashHistory =
-                    new RequestCrashHistory(context.crashes(), workspace, head, body);
+                    new RequestCrashHistory(
+                            context.crashes(),
+                            context.partCrashes(),
+                            request.prompt(),
+                            workspace,
+                            head,
+                            body);
             if (crashHistory.isQuarantined(context.nowMillis())) {
                 refuse(request, caller, RefusalReason.QUARANTINED);
                 return;
--- a/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/fleet/FleetChannel.java
+++ b/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/fleet/FleetChannel.java
@@ -5,6 +5,7 @@
 import io.activej.reactor.nio.NioReactor;
 import io.chicorytrestle.core.fleet.ReaderSelection;
 import io.chicorytrestle.core.fleet.StoreContact;
+import io.chicorytrestle.core.poison.CrashNotice;
 import io.chicorytrestle.core.route.RoutingTable;
 import io.chicorytrestle.gateway.link.Addresses;
 import io.chicorytrestle.gateway.operations.LogFields;
@@ -243,7 +244,8 @@
                                 fleetState.leaving(),
                                 observations.crashes().recentNotices(nowMillis),
                                 members.sampleReachablePeers(nowMillis),
-                                observations.promptParts().ownReads(nowMillis)));
+                                observations.promptParts().ownReads(nowMillis),
+                                observations.partCrashes().recentNotices(nowMillis)));
         for (String address : targets) {
             send(address, message, nowMillis);
         }
@@ -323,7 +325,7 @@
                     .recordPeerOutcomes(heartbeat.sender().name(), heartbeat.outcomes(), nowMillis);
         }
         observations.promptParts().recordPeerReads(heartbeat.promptReads(), nowMillis);
-        heartbeat.crashes().forEach(crash -> observations.crashes().recordNotice(crash, nowMillis));
+        recordCrashes(heartbeat, nowMillis);
         for (String leaving : heartbeat.leaving()) {
             fleetState.markLeaving(leaving, heartbeat.sender().name(), nowMillis);
         }
@@ -350,6 +352,21 @@
         }
     }
 
+    /**
+     * Records the crashes of endpoints that a heartbeat reports.
+     *
+     * @param heartbeat The heartbeat.
+     * @param nowMillis The current time in milliseconds.
+     */
+    private void recordCrashes(Heartbeat heartbeat, long nowMillis) {
+        for (CrashNotice crash : heartbeat.crashes()) {
+            observations.crashes().recordNotice(crash, nowMillis);
+        }
+        for (CrashNotice crash : heartbeat.partCrashes()) {
+            observations.partCrashes().recordNotice(crash, nowMillis);
+        }
+    }
+
     /**
      * Applies a snapshot.
      *
--- a/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/fleet/FleetCodec.java
+++ b/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/fleet/FleetCodec.java
@@ -117,11 +117,7 @@
             packer.packFloat((float) outcomes.getValue().failed());
         }
         packStrings(packer, heartbeat.leaving());
-        packer.packArrayHeader(heartbeat.crashes().size());
-        for (CrashNotice crash : heartbeat.crashes()) {
-            packer.packString(crash.fingerprint());
-            packStrings(packer, crash.incarnations());
-        }
+        packCrashes(packer, heartbeat.crashes());
         packer.packArrayHeader(heartbeat.peers().size());
         for (PeerAddress peer : heartbeat.peers()) {
             pack(packer, peer);
@@ -131,6 +127,23 @@
             packer.packString(reads.getKey());
             packStrings(packer, reads.getValue());
         }
+        packCrashes(packer, heartbeat.partCrashes());
+    }
+
+    /**
+     * Writes notices of crashes.
+     *
+     * @param packer Receives the fields.
+     * @param crashes The notices.
+     * @throws IOException Never, since the packer writes to memory.
+     */
+    private static void packCrashes(MessageBufferPacker packer, List<CrashNotice> crashes)
+            throws IOException {
+        packer.packArrayHeader(crashes.size());
+        for (CrashNotice crash : crashes) {
+            packer.packString(crash.fingerprint());
+            packStrings(packer, crash.incarnations());
+        }
     }
 
     /**
@@ -158,20 +171,18 @@
                     new Outcomes(unpacker.unpackFloat(), unpacker.unpackFloat()));
         }
         List<String> leaving = unpackStrings(unpacker);
-        List<CrashNotice> crashes = new ArrayList<>();
-        for (int remaining = unpacker.unpackArrayHeader(); remaining > 0; remaining--) {
-            crashes.add(new CrashNotice(unpacker.unpackString(), unpackStrings(unpacker)));
-        }
+        List<CrashNotice> crashes = unpackCrashes(unpacker);
         List<PeerAddress> peers = new ArrayList<>();
         for (int remaining = unpacker.unpackArrayHeader(); remaining > 0; remaining--) {
             peers.add(unpackAddress(unpacker));
         }
         Map<String, List<String>> promptReads = new HashMap<>();
-        // An instance of an earlier version ends its heartbeats here.
+        // Instances of earlier versions end their heartbeats here or before the prompt parts.
         int endpoints = unpacker.hasNext() ? unpacker.unpackMapHeader() : 0;
         for (int remaining = endpoints; remaining > 0; remaining--) {
             promptReads.put(unpacker.unpackString(), unpackStrings(unpacker));
         }
+        List<CrashNotice> partCrashes = unpacker.hasNext() ? unpackCrashes(unpacker) : List.of();
         return new Heartbeat(
                 sender,
                 incarnation,
@@ -184,7 +195,23 @@
                 leaving,
                 crashes,
                 peers,
-                promptReads);
+                promptReads,
+                partCrashes);
+    }
+
+    /**
+     * Reads notices of crashes.
+     *
+     * @param unpacker Supplies the fields.
+     * @return The notices.
+     * @throws IOException If the message is malformed.
+     */
+    private static List<CrashNotice> unpackCrashes(MessageUnpacker unpacker) throws IOException {
+        List<CrashNotice> crashes = new ArrayList<>();
+        for (int remaining = unpacker.unpackArrayHeader(); remaining > 0; remaining--) {
+            crashes.add(new CrashNotice(unpacker.unpackString(), unpackStrings(unpacker)));
+        }
+        return crashes;
     }
 
     /**
--- a/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/fleet/Heartbeat.java
+++ b/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/fleet/Heartbeat.java
@@ -24,6 +24,7 @@
  * @param peers A sample of the instances known to the sender.
  * @param promptReads The keys of prompt parts that endpoints read lately at the sender's request,
  *     by incarnation of the endpoint.
+ * @param partCrashes The identifiers of prompt parts under which endpoints crashed recently.
  */
 public record Heartbeat(
         PeerAddress sender,
@@ -37,7 +38,8 @@
         List<String> leaving,
         List<CrashNotice> crashes,
         List<PeerAddress> peers,
-        Map<String, List<String>> promptReads)
+        Map<String, List<String>> promptReads,
+        List<CrashNotice> partCrashes)
         implements FleetMessage {
 
     /** Copies the collections. */
@@ -48,5 +50,6 @@
         crashes = List.copyOf(crashes);
         peers = List.copyOf(peers);
         promptReads = Map.copyOf(promptReads);
+        partCrashes = List.copyOf(partCrashes);
     }
 }
--- a/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/fleet/PeerObservations.java
+++ b/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/fleet/PeerObservations.java
@@ -5,6 +5,7 @@
 import io.chicorytrestle.core.placement.PromptPartTracker;
 import io.chicorytrestle.core.placement.ZoneReachability;
 import io.chicorytrestle.core.poison.CrashTracker;
+import io.chicorytrestle.core.poison.PartCrashTracker;
 
 /**
  * Holds the trackers whose observations instances exchange in heartbeats.
@@ -12,6 +13,7 @@
  * @param loads The requests in flight by endpoint.
  * @param outcomes The outcomes of requests by endpoint, shared within the zone.
  * @param crashes The crashes of endpoints by request content.
+ * @param partCrashes The crashes of endpoints by prompt part.
  * @param zoneReachability The time of the last contact by zone.
  * @param promptParts The endpoints that processed each prompt part lately.
  */
@@ -19,5 +21,6 @@
         LoadTracker loads,
         OutcomeTracker outcomes,
         CrashTracker crashes,
+        PartCrashTracker partCrashes,
         ZoneReachability zoneReachability,
         PromptPartTracker promptParts) {}
--- a/chicorytrestle-gateway/src/test/java/io/chicorytrestle/gateway/fleet/FleetCodecTest.java
+++ b/chicorytrestle-gateway/src/test/java/io/chicorytrestle/gateway/fleet/FleetCodecTest.java
@@ -39,7 +39,8 @@
                                 new CrashNotice("ab12", List.of("e@1")),
                                 new CrashNotice("cd34", List.of())),
                         List.of(new PeerAddress("b", "10.0.0.3:9", "y")),
-                        Map.of("e@1", List.of("m/1", "m/2")));
+                        Map.of("e@1", List.of("m/1", "m/2")),
+                        List.of(new CrashNotice("5c1e", List.of("e@1", "f@2"))));
 
         assertThat(FleetCodec.decode(FleetCodec.encode(heartbeat)), equalTo(heartbeat));
     }
--- a/chicorytrestle-gateway/src/test/java/io/chicorytrestle/gateway/fleet/FleetMembershipTest.java
+++ b/chicorytrestle-gateway/src/test/java/io/chicorytrestle/gateway/fleet/FleetMembershipTest.java
@@ -184,6 +184,7 @@
                 List.of(),
                 List.of(),
                 peers,
-                Map.of());
+                Map.of(),
+                List.of());
     }
 }
