Tell other instances that requests without a suspected part complete

Notices of parts now carry the largest number of other completions at one instance.

PartCrashTrackerTest.testQuarantineWhenOnlyAnotherInstanceCompletedRequests fails without it.

--- a/chicorytrestle-core/src/main/java/io/chicorytrestle/core/poison/PartCrashTracker.java
+++ b/chicorytrestle-core/src/main/java/io/chicorytrestle/core/poison/PartCrashTracker.java
@@ -24,8 +24,8 @@
     private static final int QUARANTINE_THRESHOLD = 3;
 
     /**
-     * The number of other requests that must have completed here since the first crash: while none
-     * completes, endpoints fail for another reason than the part.
+     * The number of other requests that must have completed at one instance since the first crash:
+     * while none completes, endpoints fail for another reason than the part.
      */
     private static final int MINIMUM_OTHER_COMPLETIONS = 4;
 
@@ -131,6 +131,7 @@
         Entry entry = entries.get(part);
         if (entry != null && !entry.crashMillis.isEmpty()) {
             entry.crashMillis.clear();
+            entry.reportedCompletions = 0;
             entry.isWitnessed = isWitnessed;
             entry.changedMillis = nowMillis;
         }
@@ -217,7 +218,7 @@
         Entry entry = entries.get(part);
         if (entry == null
                 || entry.crashMillis.size() < QUARANTINE_THRESHOLD
-                || completions - entry.completionsBefore < MINIMUM_OTHER_COMPLETIONS) {
+                || entry.otherCompletions(completions) < MINIMUM_OTHER_COMPLETIONS) {
             return false;
         }
         Set<String> unexplained = new HashSet<>(entry.crashMillis.keySet());
@@ -236,17 +237,18 @@
      * @param nowMillis The current time in milliseconds.
      * @return The notices, those with the most crashes first.
      */
-    public List<CrashNotice> recentNotices(long nowMillis) {
+    public List<PartCrashNotice> recentNotices(long nowMillis) {
         return entries.entrySet().stream()
                 .filter(entry -> entry.getValue().isNoticeDue(nowMillis))
                 .map(
                         entry ->
-                                new CrashNotice(
+                                new PartCrashNotice(
                                         entry.getKey(),
-                                        List.copyOf(entry.getValue().crashMillis.keySet())))
+                                        List.copyOf(entry.getValue().crashMillis.keySet()),
+                                        entry.getValue().otherCompletions(completions)))
                 .sorted(
                         Comparator.comparingInt(
-                                        (CrashNotice notice) -> notice.incarnations().size())
+                                        (PartCrashNotice notice) -> notice.incarnations().size())
                                 .reversed())
                 .limit(MAXIMUM_NOTICES)
                 .toList();
@@ -256,19 +258,34 @@
      * Records a notice from another instance. Crashes under a part that was cleared lately are
      * ignored, since the notice may be outdated.
      *
-     * @param notice The notice, whose fingerprint is the identifier of the part.
+     * @param notice The notice, whose crashes are added to those known here.
      * @param nowMillis The current time in milliseconds.
      */
-    public void recordNotice(CrashNotice notice, long nowMillis) {
+    public void recordNotice(PartCrashNotice notice, long nowMillis) {
         if (notice.isCleared()) {
-            clear(notice.fingerprint(), false, nowMillis);
+            clear(notice.part(), false, nowMillis);
             return;
         }
-        Entry entry = entries.get(notice.fingerprint());
+        Entry entry = entries.get(notice.part());
         if (entry == null || !entry.crashMillis.isEmpty()) {
             for (String incarnation : notice.incarnations()) {
-                recordCrash(notice.fingerprint(), incarnation, false, nowMillis);
+                recordCrash(notice.part(), incarnation, false, nowMillis);
             }
+            recordOtherCompletions(notice);
+        }
+    }
+
+    /**
+     * Keeps the largest number of other requests that completed at one instance, so that instances
+     * with few requests of their own can tell a part from an outage, too.
+     *
+     * @param notice The notice of a recorded part.
+     */
+    private void recordOtherCompletions(PartCrashNotice notice) {
+        Entry entry = entries.get(notice.part());
+        if (entry != null) {
+            entry.reportedCompletions =
+                    Math.max(entry.reportedCompletions, notice.otherCompletions());
         }
     }
 
@@ -299,12 +316,29 @@
         /** The number of requests that had completed before the first crash. */
         private long completionsBefore;
 
+        /** The largest number of other completions since the first crash that was reported. */
+        private int reportedCompletions;
+
         /** Whether this instance itself witnessed a crash or the completion that cleared it. */
         private boolean isWitnessed;
 
         /** The time of the last change in milliseconds. */
         private long changedMillis;
 
+        /**
+         * Returns the largest known number of other requests that completed at one instance since
+         * the first crash.
+         *
+         * @param completions The number of requests that completed at this instance so far.
+         * @return The number of requests.
+         */
+        private int otherCompletions(long completions) {
+            return (int)
+                    Math.min(
+                            Integer.MAX_VALUE,
+                            Math.max(reportedCompletions, completions - completionsBefore));
+        }
+
         /**
          * Returns {@code true} if a change is to be sent to other instances.
          *
--- a/chicorytrestle-core/src/test/java/io/chicorytrestle/core/poison/PartCrashTrackerTest.java
+++ b/chicorytrestle-core/src/test/java/io/chicorytrestle/core/poison/PartCrashTrackerTest.java
@@ -82,22 +82,32 @@
     @Test
     void testQuarantineWhenOldNoticeFollowsCompletionNotice() {
         crash("e1", 0, "feed");
-        tracker.recordNotice(new CrashNotice("feed", List.of()), 10);
-        tracker.recordNotice(new CrashNotice("feed", List.of("e1", "e2", "e3")), 20);
+        tracker.recordNotice(new PartCrashNotice("feed", List.of(), 0), 10);
+        tracker.recordNotice(new PartCrashNotice("feed", List.of("e1", "e2", "e3"), 0), 20);
         completeOthers("base");
         assertThat(tracker.quarantined(), is(Set.of()));
     }
 
+    @Test
+    void testQuarantineWhenOnlyAnotherInstanceCompletedRequests() {
+        tracker.recordNotice(new PartCrashNotice("dead", List.of("e1", "e2"), 1), 0);
+        crash("e3", 10, "dead");
+        assertThat(tracker.quarantined(), is(Set.of()));
+
+        tracker.recordNotice(new PartCrashNotice("dead", List.of("e1", "e2"), 4), 20);
+        assertThat(tracker.quarantined(), is(Set.of("dead")));
+    }
+
     @Test
     void testRecentNoticesWhenPartsOfOtherInstancesAreWeakSuspects() {
-        tracker.recordNotice(new CrashNotice("weak", List.of("e1")), 0);
-        tracker.recordNotice(new CrashNotice("strong", List.of("e1", "e2")), 0);
+        tracker.recordNotice(new PartCrashNotice("weak", List.of("e1"), 0), 0);
+        tracker.recordNotice(new PartCrashNotice("strong", List.of("e1", "e2"), 0), 0);
         crash("e3", 0, "own");
 
-        List<CrashNotice> notices = tracker.recentNotices(100);
+        List<PartCrashNotice> notices = tracker.recentNotices(100);
         assertThat(notices, hasSize(2));
-        assertThat(notices.get(0).fingerprint(), equalTo("strong"));
-        assertThat(notices.get(1).fingerprint(), equalTo("own"));
+        assertThat(notices.get(0).part(), equalTo("strong"));
+        assertThat(notices.get(1).part(), equalTo("own"));
     }
 
     @Test
@@ -154,7 +164,7 @@
 
     private static void exchangeNotices(List<PartCrashTracker> fleet, long nowMillis) {
         for (PartCrashTracker sender : fleet) {
-            for (CrashNotice notice : sender.recentNotices(nowMillis)) {
+            for (PartCrashNotice notice : sender.recentNotices(nowMillis)) {
                 fleet.forEach(receiver -> receiver.recordNotice(notice, nowMillis));
             }
         }
--- a/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/fleet/FleetChannel.java
+++ b/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/fleet/FleetChannel.java
@@ -6,6 +6,7 @@
 import io.chicorytrestle.core.fleet.ReaderSelection;
 import io.chicorytrestle.core.fleet.StoreContact;
 import io.chicorytrestle.core.poison.CrashNotice;
+import io.chicorytrestle.core.poison.PartCrashNotice;
 import io.chicorytrestle.core.route.RoutingTable;
 import io.chicorytrestle.gateway.link.Addresses;
 import io.chicorytrestle.gateway.operations.LogFields;
@@ -362,7 +363,7 @@
         for (CrashNotice crash : heartbeat.crashes()) {
             observations.crashes().recordNotice(crash, nowMillis);
         }
-        for (CrashNotice crash : heartbeat.partCrashes()) {
+        for (PartCrashNotice crash : heartbeat.partCrashes()) {
             observations.partCrashes().recordNotice(crash, nowMillis);
         }
     }
--- a/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/fleet/FleetCodec.java
+++ b/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/fleet/FleetCodec.java
@@ -4,6 +4,7 @@
 import io.chicorytrestle.core.placement.Outcomes;
 import io.chicorytrestle.core.placement.ServingEndpoint;
 import io.chicorytrestle.core.poison.CrashNotice;
+import io.chicorytrestle.core.poison.PartCrashNotice;
 import java.io.IOException;
 import java.nio.ByteBuffer;
 import java.util.ArrayList;
@@ -117,7 +118,11 @@
             packer.packFloat((float) outcomes.getValue().failed());
         }
         packStrings(packer, heartbeat.leaving());
-        packCrashes(packer, heartbeat.crashes());
+        packer.packArrayHeader(heartbeat.crashes().size());
+        for (CrashNotice crash : heartbeat.crashes()) {
+            packer.packString(crash.fingerprint());
+            packStrings(packer, crash.incarnations());
+        }
         packer.packArrayHeader(heartbeat.peers().size());
         for (PeerAddress peer : heartbeat.peers()) {
             pack(packer, peer);
@@ -127,22 +132,11 @@
             packer.packString(reads.getKey());
             packStrings(packer, reads.getValue());
         }
-        packCrashes(packer, heartbeat.partCrashes());
-    }
-
-    /**
-     * Writes notices of crashes.
-     *
-     * @param packer Receives the fields.
-     * @param crashes The notices.
-     * @throws IOException Never, since the packer writes to memory.
-     */
-    private static void packCrashes(MessageBufferPacker packer, List<CrashNotice> crashes)
-            throws IOException {
-        packer.packArrayHeader(crashes.size());
-        for (CrashNotice crash : crashes) {
-            packer.packString(crash.fingerprint());
+        packer.packArrayHeader(heartbeat.partCrashes().size());
+        for (PartCrashNotice crash : heartbeat.partCrashes()) {
+            packer.packString(crash.part());
             packStrings(packer, crash.incarnations());
+            packer.packInt(crash.otherCompletions());
         }
     }
 
@@ -171,7 +165,10 @@
                     new Outcomes(unpacker.unpackFloat(), unpacker.unpackFloat()));
         }
         List<String> leaving = unpackStrings(unpacker);
-        List<CrashNotice> crashes = unpackCrashes(unpacker);
+        List<CrashNotice> crashes = new ArrayList<>();
+        for (int remaining = unpacker.unpackArrayHeader(); remaining > 0; remaining--) {
+            crashes.add(new CrashNotice(unpacker.unpackString(), unpackStrings(unpacker)));
+        }
         List<PeerAddress> peers = new ArrayList<>();
         for (int remaining = unpacker.unpackArrayHeader(); remaining > 0; remaining--) {
             peers.add(unpackAddress(unpacker));
@@ -182,7 +179,8 @@
         for (int remaining = endpoints; remaining > 0; remaining--) {
             promptReads.put(unpacker.unpackString(), unpackStrings(unpacker));
         }
-        List<CrashNotice> partCrashes = unpacker.hasNext() ? unpackCrashes(unpacker) : List.of();
+        List<PartCrashNotice> partCrashes =
+                unpacker.hasNext() ? unpackPartCrashes(unpacker) : List.of();
         return new Heartbeat(
                 sender,
                 incarnation,
@@ -200,18 +198,23 @@
     }
 
     /**
-     * Reads notices of crashes.
+     * Reads notices of crashes under prompt parts.
      *
      * @param unpacker Supplies the fields.
      * @return The notices.
      * @throws IOException If the message is malformed.
      */
-    private static List<CrashNotice> unpackCrashes(MessageUnpacker unpacker) throws IOException {
-        List<CrashNotice> crashes = new ArrayList<>();
+    private static List<PartCrashNotice> unpackPartCrashes(MessageUnpacker unpacker)
+            throws IOException {
+        List<PartCrashNotice> notices = new ArrayList<>();
         for (int remaining = unpacker.unpackArrayHeader(); remaining > 0; remaining--) {
-            crashes.add(new CrashNotice(unpacker.unpackString(), unpackStrings(unpacker)));
+            notices.add(
+                    new PartCrashNotice(
+                            unpacker.unpackString(),
+                            unpackStrings(unpacker),
+                            unpacker.unpackInt()));
         }
-        return crashes;
+        return notices;
     }
 
     /**
--- a/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/fleet/Heartbeat.java
+++ b/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/fleet/Heartbeat.java
@@ -3,6 +3,7 @@
 import io.chicorytrestle.core.fleet.StoreContact;
 import io.chicorytrestle.core.placement.Outcomes;
 import io.chicorytrestle.core.poison.CrashNotice;
+import io.chicorytrestle.core.poison.PartCrashNotice;
 import java.util.List;
 import java.util.Map;
 
@@ -39,7 +40,7 @@
         List<CrashNotice> crashes,
         List<PeerAddress> peers,
         Map<String, List<String>> promptReads,
-        List<CrashNotice> partCrashes)
+        List<PartCrashNotice> partCrashes)
         implements FleetMessage {
 
     /** Copies the collections. */
--- a/chicorytrestle-gateway/src/test/java/io/chicorytrestle/gateway/fleet/FleetCodecTest.java
+++ b/chicorytrestle-gateway/src/test/java/io/chicorytrestle/gateway/fleet/FleetCodecTest.java
@@ -8,6 +8,7 @@
 import io.chicorytrestle.core.placement.Outcomes;
 import io.chicorytrestle.core.placement.ServingEndpoint;
 import io.chicorytrestle.core.poison.CrashNotice;
+import io.chicorytrestle.core.poison.PartCrashNotice;
 import java.io.IOException;
 import java.nio.ByteBuffer;
 import java.util.List;
@@ -40,7 +41,7 @@
                                 new CrashNotice("cd34", List.of())),
                         List.of(new PeerAddress("b", "10.0.0.3:9", "y")),
                         Map.of("e@1", List.of("m/1", "m/2")),
-                        List.of(new CrashNotice("5c1e", List.of("e@1", "f@2"))));
+                        List.of(new PartCrashNotice("5c1e", List.of("e@1", "f@2"), 4)));
 
         assertThat(FleetCodec.decode(FleetCodec.encode(heartbeat)), equalTo(heartbeat));
     }
