--- a/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/exchange/Attempt.java
+++ b/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/exchange/Attempt.java
@@ -10,6 +10,7 @@
 import io.netty.buffer.ByteBuf;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpStatusClass;
@@ -56,6 +57,9 @@
     /** Whether the request was handed to the connection. */
     private boolean isSent;
 
+    /** Whether the request is a HEAD request, whose response has no body. */
+    private boolean isHeadRequest;
+
     /** Whether this attempt ended; later events are ignored. */
     private boolean isEnded;
 
@@ -167,7 +171,9 @@
         connection = acquired;
         isSent = true;
         exchange.onSent(this);
-        acquired.send(request.get(), id, this);
+        FullHttpRequest built = request.get();
+        isHeadRequest = built.method().equals(HttpMethod.HEAD);
+        acquired.send(built, id, this);
     }
 
     /** Cancels the attempt after a time-out and records a failure of the endpoint. */
@@ -298,7 +304,9 @@
         if (isEnded || response == null) {
             return;
         }
-        if (handling == ResponseHandling.STREAM && exchange.isBrokenOff(response)) {
+        if (handling == ResponseHandling.STREAM
+                && !isHeadRequest
+                && exchange.isBrokenOff(response)) {
             onConnectionLost("stream was broken off");
             return;
         }
--- a/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/link/BodyFraming.java
+++ b/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/link/BodyFraming.java
@@ -1,12 +1,16 @@
 package io.chicorytrestle.gateway.link;
 
 import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpUtil;
 import java.util.Locale;
 
 /** Enumerates the ways in which a response declares the end of its body. */
 public enum BodyFraming {
 
+    /** The status, which allows no body. */
+    STATUS,
+
     /** A length in the head. */
     LENGTH,
 
@@ -17,12 +21,16 @@
     CONNECTION_END;
 
     /**
-     * Determines the framing of a response.
+     * Determines the framing of a response to a request other than HEAD.
      *
      * @param head The head of the response.
      * @return The framing of its body.
      */
     public static BodyFraming of(HttpResponse head) {
+        if (head.status().equals(HttpResponseStatus.NO_CONTENT)
+                || head.status().equals(HttpResponseStatus.NOT_MODIFIED)) {
+            return STATUS;
+        }
         if (HttpUtil.isTransferEncodingChunked(head)) {
             return CHUNKED;
         }
