Clear prompt parts of crashes only by successes

An endpoint that fails part of its requests answers 500 to a request with a crashing part, too, without running it; that cleared the part, so that its crashes were counted anew. Found in reading the diff; PlatformPathTest.testResponseWhenEndpointsFailSomePromptsWithCrashingPart failed before (no refusal in 16 requests) and passes.

--- a/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/exchange/Exchange.java
+++ b/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/exchange/Exchange.java
@@ -235,7 +235,7 @@
      * @param from The attempt that received the response.
      */
     void onStreamCompleted(Attempt from) {
-        routed.crashHistory().recordSuccess(context.nowMillis());
+        routed.crashHistory().recordAnswer(true, context.nowMillis());
         end().completeStream();
     }
 
@@ -257,7 +257,8 @@
         if (relay.isStarted() || isAbandoned) {
             continueAfterFailure(from, "endpoint responded with " + head.status());
         } else {
-            routed.crashHistory().recordSuccess(context.nowMillis());
+            boolean isSuccess = head.status().codeClass() == HttpStatusClass.SUCCESS;
+            routed.crashHistory().recordAnswer(isSuccess, context.nowMillis());
             end().complete(head, body);
         }
     }
--- a/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/exchange/RequestCrashHistory.java
+++ b/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/exchange/RequestCrashHistory.java
@@ -114,12 +114,16 @@
     }
 
     /**
-     * Records that the request ran to its end.
+     * Records that the request was answered. A failure does not clear its prompt parts, since the
+     * endpoint may not have begun to run it.
      *
+     * @param isSuccess Whether the status of the response is a success.
      * @param nowMillis The current time in milliseconds.
      */
-    void recordSuccess(long nowMillis) {
-        partTracker.recordCompletion(sharedParts, nowMillis);
+    void recordAnswer(boolean isSuccess, long nowMillis) {
+        if (isSuccess) {
+            partTracker.recordCompletion(sharedParts, nowMillis);
+        }
         if (!tracker.isEmpty()) {
             tracker.recordCompletion(fingerprint(), nowMillis);
         }
