Pass the present time to the decision on quarantined prompt parts

The house rules ask for the time as an argument of functions that decide; a quarantine now ends after ten minutes also if expired state was not removed yet. PartCrashTrackerTest.testQuarantineWhenTenMinutesPassed.

--- a/chicorytrestle-core/src/main/java/io/chicorytrestle/core/poison/PartCrashTracker.java
+++ b/chicorytrestle-core/src/main/java/io/chicorytrestle/core/poison/PartCrashTracker.java
@@ -165,14 +165,15 @@
      * endpoints crashed cannot be told apart: a request must hold all of them to be held back.
      *
      * @param parts The identifiers of a request's shared prompt parts.
+     * @param nowMillis The current time in milliseconds.
      * @return The identifier of the part, or empty if the request may run.
      */
-    public Optional<String> findQuarantined(Collection<String> parts) {
+    public Optional<String> findQuarantined(Collection<String> parts, long nowMillis) {
         if (entries.isEmpty()) {
             return Optional.empty();
         }
         return parts.stream()
-                .filter(this::isQuarantined)
+                .filter(part -> isQuarantined(part, nowMillis))
                 .filter(part -> parts.containsAll(indistinguishableFrom(part)))
                 .findFirst();
     }
@@ -199,11 +200,12 @@
     /**
      * Returns the parts in quarantine, including those that cannot be told apart.
      *
+     * @param nowMillis The current time in milliseconds.
      * @return The identifiers of the parts.
      */
-    public Set<String> quarantined() {
+    public Set<String> quarantined(long nowMillis) {
         Set<String> parts = new HashSet<>(entries.keySet());
-        parts.removeIf(part -> !isQuarantined(part));
+        parts.removeIf(part -> !isQuarantined(part, nowMillis));
         return parts;
     }
 
@@ -212,11 +214,13 @@
      * explained by that part.
      *
      * @param part The identifier of the part.
+     * @param nowMillis The current time in milliseconds.
      * @return {@code true} if the crashes under the part suffice for a quarantine.
      */
-    private boolean isQuarantined(String part) {
+    private boolean isQuarantined(String part, long nowMillis) {
         Entry entry = entries.get(part);
         if (entry == null
+                || entry.isExpired(nowMillis)
                 || entry.crashMillis.size() < QUARANTINE_THRESHOLD
                 || entry.otherCompletions(completions) < MINIMUM_OTHER_COMPLETIONS) {
             return false;
@@ -295,13 +299,7 @@
      * @param nowMillis The current time in milliseconds.
      */
     public void removeExpired(long nowMillis) {
-        entries.values()
-                .removeIf(
-                        entry ->
-                                nowMillis - entry.changedMillis
-                                        > (entry.crashMillis.isEmpty()
-                                                ? NOTICE_PERIOD_MILLIS
-                                                : RETENTION_MILLIS));
+        entries.values().removeIf(entry -> entry.isExpired(nowMillis));
     }
 
     /** Holds the crashes under one part. */
@@ -339,6 +337,18 @@
                             Math.max(reportedCompletions, completions - completionsBefore));
         }
 
+        /**
+         * Returns {@code true} if the crashes are too old to count, or the notice of a cleared part
+         * was sent.
+         *
+         * @param nowMillis The current time in milliseconds.
+         * @return {@code true} if the entry is to be removed.
+         */
+        private boolean isExpired(long nowMillis) {
+            return nowMillis - changedMillis
+                    > (crashMillis.isEmpty() ? NOTICE_PERIOD_MILLIS : RETENTION_MILLIS);
+        }
+
         /**
          * Returns {@code true} if a change is to be sent to other instances.
          *
--- a/chicorytrestle-core/src/test/java/io/chicorytrestle/core/poison/PartCrashTrackerTest.java
+++ b/chicorytrestle-core/src/test/java/io/chicorytrestle/core/poison/PartCrashTrackerTest.java
@@ -24,11 +24,14 @@
         crash("e1", 0, "base", "dead");
         crash("e2", 10, "base", "dead");
         completeOthers("base");
-        assertThat(tracker.quarantined(), is(Set.of()));
+        assertThat(tracker.quarantined(100), is(Set.of()));
         crash("e3", 20, "base", "dead");
 
-        assertThat(tracker.findQuarantined(List.of("base", "dead")), equalTo(Optional.of("dead")));
-        assertThat(tracker.findQuarantined(List.of("base", "feed")), equalTo(Optional.empty()));
+        assertThat(
+                tracker.findQuarantined(List.of("base", "dead"), 100),
+                equalTo(Optional.of("dead")));
+        assertThat(
+                tracker.findQuarantined(List.of("base", "feed"), 100), equalTo(Optional.empty()));
     }
 
     @Test
@@ -36,7 +39,7 @@
         for (int index = 0; index < 6; index++) {
             crash("e" + index, index, "base", "feed" + index);
         }
-        assertThat(tracker.quarantined(), is(Set.of()));
+        assertThat(tracker.quarantined(100), is(Set.of()));
     }
 
     @Test
@@ -48,7 +51,7 @@
         crash("e3", 3, "dead");
         completeOthers("base");
 
-        assertThat(tracker.quarantined(), is(Set.of("dead")));
+        assertThat(tracker.quarantined(100), is(Set.of("dead")));
     }
 
     @Test
@@ -58,11 +61,11 @@
         }
         completeOthers("base");
 
-        assertThat(tracker.findQuarantined(List.of("feed", "dead")), is(Optional.of("feed")));
-        assertThat(tracker.findQuarantined(List.of("feed")), is(Optional.empty()));
+        assertThat(tracker.findQuarantined(List.of("feed", "dead"), 100), is(Optional.of("feed")));
+        assertThat(tracker.findQuarantined(List.of("feed"), 100), is(Optional.empty()));
 
         crash("e3", 3, "dead");
-        assertThat(tracker.findQuarantined(List.of("dead")), is(Optional.of("dead")));
+        assertThat(tracker.findQuarantined(List.of("dead"), 100), is(Optional.of("dead")));
     }
 
     @Test
@@ -71,12 +74,12 @@
             crash("e" + index, 0, "feed");
         }
         completeOthers("base");
-        assertThat(tracker.quarantined(), is(Set.of("feed")));
+        assertThat(tracker.quarantined(100), is(Set.of("feed")));
 
         tracker.recordAnswer("e1", 500);
-        assertThat(tracker.quarantined(), is(Set.of("feed")));
+        assertThat(tracker.quarantined(100), is(Set.of("feed")));
         tracker.recordAnswer("e1", 1_500);
-        assertThat(tracker.quarantined(), is(Set.of()));
+        assertThat(tracker.quarantined(100), is(Set.of()));
     }
 
     @Test
@@ -85,17 +88,17 @@
         tracker.recordNotice(new PartCrashNotice("feed", List.of(), 0), 10);
         tracker.recordNotice(new PartCrashNotice("feed", List.of("e1", "e2", "e3"), 0), 20);
         completeOthers("base");
-        assertThat(tracker.quarantined(), is(Set.of()));
+        assertThat(tracker.quarantined(100), is(Set.of()));
     }
 
     @Test
     void testQuarantineWhenOnlyAnotherInstanceCompletedRequests() {
         tracker.recordNotice(new PartCrashNotice("dead", List.of("e1", "e2"), 1), 0);
         crash("e3", 10, "dead");
-        assertThat(tracker.quarantined(), is(Set.of()));
+        assertThat(tracker.quarantined(100), is(Set.of()));
 
         tracker.recordNotice(new PartCrashNotice("dead", List.of("e1", "e2"), 4), 20);
-        assertThat(tracker.quarantined(), is(Set.of("dead")));
+        assertThat(tracker.quarantined(100), is(Set.of("dead")));
     }
 
     @Test
@@ -110,6 +113,17 @@
         assertThat(notices.get(1).part(), equalTo("own"));
     }
 
+    @Test
+    void testQuarantineWhenTenMinutesPassed() {
+        for (int index = 0; index < 3; index++) {
+            crash("e" + index, 0, "dead");
+        }
+        completeOthers("base");
+
+        assertThat(tracker.quarantined(600_000), is(Set.of("dead")));
+        assertThat(tracker.quarantined(600_001), is(Set.of()));
+    }
+
     @Test
     void testRecordCrashWhenTrackerIsFull() {
         crash("e1", 0, "dead");
@@ -119,7 +133,7 @@
         }
         crash("e4", 3, "dead");
         completeOthers("base");
-        assertThat(tracker.quarantined(), is(Set.of("dead")));
+        assertThat(tracker.quarantined(100), is(Set.of("dead")));
     }
 
     /**
@@ -136,7 +150,7 @@
         int crashes = 0;
         for (int nowMillis = 0; nowMillis < 60_000; nowMillis += 500) {
             PartCrashTracker called = fleet.get(random.nextInt(fleet.size()));
-            if (called.findQuarantined(List.of("base", "dead")).isEmpty()) {
+            if (called.findQuarantined(List.of("base", "dead"), nowMillis).isEmpty()) {
                 called.recordCrash(List.of("base", "dead"), "e" + crashes, nowMillis);
                 for (int broken = 0; broken < 8; broken++) {
                     fleet.get(random.nextInt(fleet.size()))
@@ -152,7 +166,7 @@
                 exchangeNotices(fleet, nowMillis);
             }
             for (PartCrashTracker instance : fleet) {
-                assertThat(instance.quarantined(), is(not(hasItem("base"))));
+                assertThat(instance.quarantined(nowMillis), is(not(hasItem("base"))));
             }
         }
         assertThat(crashes, lessThanOrEqualTo(5));
--- a/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/exchange/Exchange.java
+++ b/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/exchange/Exchange.java
@@ -275,7 +275,7 @@
                 routed.crashHistory()
                         .recordCrash(from.endpoint().incarnation(), context.nowMillis());
         if (crashes - attempts.sends() >= OTHER_CRASHES_FORBIDDING_RETRY
-                || routed.crashHistory().quarantinedPart().isPresent()) {
+                || routed.crashHistory().quarantinedPart(context.nowMillis()).isPresent()) {
             attempts.forbidRetries();
         }
         onAttemptFailed(from, Verdict.MAY_HAVE_RUN, cause);
--- a/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/exchange/GatewayContext.java
+++ b/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/exchange/GatewayContext.java
@@ -214,9 +214,13 @@
         exchanges.remove(exchange);
     }
 
-    /** Logs the prompt parts in quarantine if they changed. */
-    private void reportQuarantinedParts() {
-        Set<String> quarantined = partCrashes.quarantined();
+    /**
+     * Logs the prompt parts in quarantine if they changed.
+     *
+     * @param nowMillis The current time in milliseconds.
+     */
+    private void reportQuarantinedParts(long nowMillis) {
+        Set<String> quarantined = partCrashes.quarantined(nowMillis);
         if (!quarantined.equals(lastQuarantinedParts)) {
             LOGGER.atWarning()
                     .with(LogFields.OUTCOME, quarantined.toString())
@@ -237,7 +241,7 @@
         outcomes.removeNegligible(nowMillis);
         crashes.removeExpired(nowMillis);
         partCrashes.removeExpired(nowMillis);
-        reportQuarantinedParts();
+        reportQuarantinedParts(nowMillis);
         endpointConnections.closeExpired();
         Set<String> unreachable = zoneReachability.unreachable(nowMillis);
         if (!unreachable.equals(lastUnreachableZones)) {
--- a/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/exchange/RequestCrashHistory.java
+++ b/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/exchange/RequestCrashHistory.java
@@ -87,17 +87,18 @@
      * @return {@code true} if the request must be refused.
      */
     boolean isQuarantined(long nowMillis) {
-        return quarantinedPart().isPresent()
+        return quarantinedPart(nowMillis).isPresent()
                 || (!tracker.isEmpty() && tracker.isQuarantined(fingerprint(), nowMillis));
     }
 
     /**
      * Returns the prompt part because of which the request must be refused.
      *
-     * @return The identifier of the part, or empty if no part is in quarantine.
+     * @param nowMillis The current time in milliseconds.
+     * @return The identifier of the part, or empty if no part forbids the request.
      */
-    Optional<String> quarantinedPart() {
-        return partTracker.findQuarantined(sharedParts);
+    Optional<String> quarantinedPart(long nowMillis) {
+        return partTracker.findQuarantined(sharedParts, nowMillis);
     }
 
     /**
