Name the record of a response apart from the answer that disproves a crash

A newcomer would take RequestCrashHistory.recordAnswer for PartCrashTracker.recordAnswer, which tells that an endpoint lives.

--- a/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/exchange/Exchange.java
+++ b/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/exchange/Exchange.java
@@ -235,7 +235,7 @@
      * @param from The attempt that received the response.
      */
     void onStreamCompleted(Attempt from) {
-        routed.crashHistory().recordAnswer(true, context.nowMillis());
+        routed.crashHistory().recordResponse(true, context.nowMillis());
         end().completeStream();
     }
 
@@ -258,7 +258,7 @@
             continueAfterFailure(from, "endpoint responded with " + head.status());
         } else {
             boolean isSuccess = head.status().codeClass() == HttpStatusClass.SUCCESS;
-            routed.crashHistory().recordAnswer(isSuccess, context.nowMillis());
+            routed.crashHistory().recordResponse(isSuccess, context.nowMillis());
             end().complete(head, body);
         }
     }
--- a/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/exchange/RequestCrashHistory.java
+++ b/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/exchange/RequestCrashHistory.java
@@ -121,7 +121,7 @@
      * @param isSuccess Whether the status of the response is a success.
      * @param nowMillis The current time in milliseconds.
      */
-    void recordAnswer(boolean isSuccess, long nowMillis) {
+    void recordResponse(boolean isSuccess, long nowMillis) {
         if (isSuccess) {
             partTracker.recordCompletion(sharedParts, nowMillis);
         }
