Determine the framing of a response once, where it is decoded

The attempt kept whether its request was a HEAD request, which the decoder knows already; the framing listed the statuses without a body, which Netty's decoder knows; and it was determined twice for each response. Now the decoder tells the framing with the head, NONE if no body follows, and the attempt passes it on.

Behaviour as before, but for the log: responses without a body have the framing none, those to HEAD requests too.

--- a/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/endpoint/EndpointConnection.java
+++ b/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/endpoint/EndpointConnection.java
@@ -192,7 +192,7 @@
             phase = Phase.SKIPPED;
         } else {
             phase = Phase.BODY;
-            responseListener.onHead(head, metadata);
+            responseListener.onHead(head, decoder.framing(head), metadata);
         }
     }
 
--- a/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/endpoint/ResponseListener.java
+++ b/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/endpoint/ResponseListener.java
@@ -1,6 +1,7 @@
 package io.chicorytrestle.gateway.endpoint;
 
 import io.chicorytrestle.gateway.dialect.ResponseMetadata;
+import io.chicorytrestle.gateway.link.BodyFraming;
 import io.netty.buffer.ByteBuf;
 import io.netty.handler.codec.http.HttpResponse;
 
@@ -11,9 +12,10 @@
      * Receives the head of the response.
      *
      * @param head The head.
+     * @param framing How the response declares the end of its body.
      * @param metadata The content of the deployment's own headers.
      */
-    void onHead(HttpResponse head, ResponseMetadata metadata);
+    void onHead(HttpResponse head, BodyFraming framing, ResponseMetadata metadata);
 
     /**
      * Receives a part of the body.
--- a/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/exchange/Attempt.java
+++ b/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/exchange/Attempt.java
@@ -7,10 +7,10 @@
 import io.chicorytrestle.gateway.dialect.ResponseMetadata;
 import io.chicorytrestle.gateway.endpoint.EndpointConnection;
 import io.chicorytrestle.gateway.endpoint.ResponseListener;
+import io.chicorytrestle.gateway.link.BodyFraming;
 import io.netty.buffer.ByteBuf;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.HttpHeaderNames;
-import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpStatusClass;
@@ -57,8 +57,8 @@
     /** Whether the request was handed to the connection. */
     private boolean isSent;
 
-    /** Whether the request is a HEAD request, whose response has no body. */
-    private boolean isHeadRequest;
+    /** How the response declares the end of its body. */
+    private BodyFraming framing = BodyFraming.NONE;
 
     /** Whether this attempt ended; later events are ignored. */
     private boolean isEnded;
@@ -171,9 +171,7 @@
         connection = acquired;
         isSent = true;
         exchange.onSent(this);
-        FullHttpRequest built = request.get();
-        isHeadRequest = built.method().equals(HttpMethod.HEAD);
-        acquired.send(built, id, this);
+        acquired.send(request.get(), id, this);
     }
 
     /** Cancels the attempt after a time-out and records a failure of the endpoint. */
@@ -202,9 +200,11 @@
     }
 
     @Override
-    public void onHead(HttpResponse response, ResponseMetadata metadata) {
+    public void onHead(
+            HttpResponse response, BodyFraming responseFraming, ResponseMetadata metadata) {
         head = response;
-        exchange.onHead(response);
+        framing = responseFraming;
+        exchange.onHead(framing);
         context.zoneReachability().recordContact(endpoint().zone(), context.nowMillis());
         context.partCrashes().recordAnswer(endpoint().incarnation(), context.nowMillis());
         metadata.load()
@@ -304,9 +304,7 @@
         if (isEnded || response == null) {
             return;
         }
-        if (handling == ResponseHandling.STREAM
-                && !isHeadRequest
-                && exchange.isBrokenOff(response)) {
+        if (handling == ResponseHandling.STREAM && exchange.isBrokenOff(framing)) {
             onConnectionLost("stream was broken off");
             return;
         }
--- a/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/exchange/Exchange.java
+++ b/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/exchange/Exchange.java
@@ -181,10 +181,10 @@
     /**
      * Reports the head of an endpoint's response.
      *
-     * @param head The head.
+     * @param framing How the response declares the end of its body.
      */
-    void onHead(HttpResponse head) {
-        reporter.reportResponse(BodyFraming.of(head));
+    void onHead(BodyFraming framing) {
+        reporter.reportResponse(framing);
     }
 
     /**
@@ -222,11 +222,11 @@
     /**
      * Returns {@code true} if a response that ends now cannot be complete.
      *
-     * @param head The head of the response.
+     * @param framing How the response declares the end of its body.
      * @return {@code true} if it is an event stream that was broken off.
      */
-    boolean isBrokenOff(HttpResponse head) {
-        return relay.isBrokenOff(BodyFraming.of(head), routed.request().lastEventId().isPresent());
+    boolean isBrokenOff(BodyFraming framing) {
+        return relay.isBrokenOff(framing, routed.request().lastEventId().isPresent());
     }
 
     /**
--- a/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/exchange/RequestReporter.java
+++ b/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/exchange/RequestReporter.java
@@ -26,8 +26,8 @@
     /** Supplies the number of bytes of an incomplete event. */
     private final ResponseRelay relay;
 
-    /** The framing of the latest response of an endpoint, or null before the first one. */
-    private @Nullable BodyFraming framing;
+    /** The framing of the latest response of an endpoint for logs, or null before the first one. */
+    private @Nullable String framing;
 
     /** The time of arrival in milliseconds. */
     private final long arrivedMillis;
@@ -81,8 +81,8 @@
      * @param responseFraming How the response declares the end of its body.
      */
     void reportResponse(BodyFraming responseFraming) {
-        framing = responseFraming;
-        context.metrics().counter("endpoint_responses_total", responseFraming.logName()).inc();
+        framing = responseFraming.logName();
+        context.metrics().counter("endpoint_responses_total", framing).inc();
     }
 
     /**
@@ -101,7 +101,7 @@
                 .with(LogFields.REASON, cause)
                 .with(LogFields.VERDICT, attempts.verdict().name())
                 .with(LogFields.SENDS, attempts.sends())
-                .with(LogFields.FRAMING, framing == null ? null : framing.logName())
+                .with(LogFields.FRAMING, framing)
                 .with(LogFields.PARTIAL_EVENT_BYTES, relay.partialEventBytes())
                 .with(LogFields.ELAPSED_MILLIS, elapsedMillis())
                 .with(LogFields.OUTCOME, next.logName())
@@ -127,7 +127,7 @@
                 .with(LogFields.OUTCOME, outcome)
                 .with(LogFields.VERDICT, attempts.verdict().name())
                 .with(LogFields.SENDS, attempts.sends())
-                .with(LogFields.FRAMING, framing == null ? null : framing.logName())
+                .with(LogFields.FRAMING, framing)
                 .with(LogFields.PARTIAL_EVENT_BYTES, relay.partialEventBytes())
                 .with(LogFields.ELAPSED_MILLIS, elapsedMillis())
                 .log("request_ended");
--- a/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/link/BodyFraming.java
+++ b/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/link/BodyFraming.java
@@ -1,15 +1,14 @@
 package io.chicorytrestle.gateway.link;
 
 import io.netty.handler.codec.http.HttpResponse;
-import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpUtil;
 import java.util.Locale;
 
 /** Enumerates the ways in which a response declares the end of its body. */
 public enum BodyFraming {
 
-    /** The status, which allows no body. */
-    STATUS,
+    /** No body follows the head. */
+    NONE,
 
     /** A length in the head. */
     LENGTH,
@@ -21,16 +20,12 @@
     CONNECTION_END;
 
     /**
-     * Determines the framing of a response to a request other than HEAD.
+     * Determines the framing of a response that has a body.
      *
      * @param head The head of the response.
      * @return The framing of its body.
      */
-    public static BodyFraming of(HttpResponse head) {
-        if (head.status().equals(HttpResponseStatus.NO_CONTENT)
-                || head.status().equals(HttpResponseStatus.NOT_MODIFIED)) {
-            return STATUS;
-        }
+    static BodyFraming ofBody(HttpResponse head) {
         if (HttpUtil.isTransferEncodingChunked(head)) {
             return CHUNKED;
         }
--- a/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/link/HeadAwareResponseDecoder.java
+++ b/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/link/HeadAwareResponseDecoder.java
@@ -2,6 +2,7 @@
 
 import io.netty.handler.codec.http.HttpDecoderConfig;
 import io.netty.handler.codec.http.HttpMessage;
+import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpResponseDecoder;
 
 /**
@@ -36,6 +37,16 @@
         isHeadRequest = headOnly;
     }
 
+    /**
+     * Determines the framing of the response that is decoded.
+     *
+     * @param head The head of the response.
+     * @return The framing of its body.
+     */
+    public BodyFraming framing(HttpResponse head) {
+        return isContentAlwaysEmpty(head) ? BodyFraming.NONE : BodyFraming.ofBody(head);
+    }
+
     @Override
     protected boolean isContentAlwaysEmpty(HttpMessage message) {
         return isHeadRequest || super.isContentAlwaysEmpty(message);
