List a request's shared prompt parts only while a crash is recorded

The tracker of parts now tells that it is empty, as that of contents does. Its search for parts that cannot be told apart copied all keys and looked each up again; it walks the entries instead. Behaviour as before: PartCrashTrackerTest and PlatformPathTest pass unchanged (36 tests).

--- a/chicorytrestle-core/src/main/java/io/chicorytrestle/core/poison/PartCrashTracker.java
+++ b/chicorytrestle-core/src/main/java/io/chicorytrestle/core/poison/PartCrashTracker.java
@@ -7,9 +7,9 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.Objects;
 import java.util.Optional;
 import java.util.Set;
+import java.util.stream.Collectors;
 
 /**
  * Quarantines prompt parts that crash the endpoints which answer requests with them, whatever else
@@ -56,6 +56,15 @@
     /** The number of requests that completed at this instance. */
     private long completions;
 
+    /**
+     * Returns {@code true} if no part is recorded.
+     *
+     * @return {@code true} if no part needs to be looked up.
+     */
+    public boolean isEmpty() {
+        return entries.isEmpty();
+    }
+
     /**
      * Records an endpoint that broke the connection on which it ran a request.
      *
@@ -169,32 +178,29 @@
      * @return The identifier of the part, or empty if the request may run.
      */
     public Optional<String> findQuarantined(Collection<String> parts, long nowMillis) {
-        if (entries.isEmpty()) {
-            return Optional.empty();
-        }
         return parts.stream()
-                .filter(part -> isQuarantined(part, nowMillis))
-                .filter(part -> parts.containsAll(indistinguishableFrom(part)))
+                .filter(
+                        part -> {
+                            Entry entry = entries.get(part);
+                            return entry != null
+                                    && isQuarantined(entry, nowMillis)
+                                    && holdAllWithSameCrashes(parts, entry);
+                        })
                 .findFirst();
     }
 
     /**
-     * Returns the parts under which the same endpoints crashed as under a given one.
+     * Returns {@code true} if a request holds all parts under which the same endpoints crashed.
      *
-     * @param part The identifier of a recorded part.
-     * @return The identifiers of the parts, including the given one.
+     * @param parts The identifiers of the request's shared prompt parts.
+     * @param entry The crashes.
+     * @return {@code true} if no part with the same crashes is missing.
      */
-    private Set<String> indistinguishableFrom(String part) {
-        Entry entry = entries.get(part);
-        Set<String> parts = new HashSet<>(entries.keySet());
-        parts.removeIf(
-                other ->
-                        entry == null
-                                || !Objects.requireNonNull(entries.get(other))
-                                        .crashMillis
-                                        .keySet()
-                                        .equals(entry.crashMillis.keySet()));
-        return parts;
+    private boolean holdAllWithSameCrashes(Collection<String> parts, Entry entry) {
+        return entries.entrySet().stream()
+                .filter(other -> other.getValue().hasSameCrashes(entry))
+                .map(Map.Entry::getKey)
+                .allMatch(parts::contains);
     }
 
     /**
@@ -204,23 +210,22 @@
      * @return The identifiers of the parts.
      */
     public Set<String> quarantined(long nowMillis) {
-        Set<String> parts = new HashSet<>(entries.keySet());
-        parts.removeIf(part -> !isQuarantined(part, nowMillis));
-        return parts;
+        return entries.entrySet().stream()
+                .filter(entry -> isQuarantined(entry.getValue(), nowMillis))
+                .map(Map.Entry::getKey)
+                .collect(Collectors.toUnmodifiableSet());
     }
 
     /**
-     * Returns {@code true} if a part is in quarantine. Crashes under a part with more crashes are
-     * explained by that part.
+     * Returns {@code true} if the crashes under a part suffice for a quarantine. Crashes under a
+     * part with more crashes are explained by that part.
      *
-     * @param part The identifier of the part.
+     * @param entry The crashes under the part.
      * @param nowMillis The current time in milliseconds.
-     * @return {@code true} if the crashes under the part suffice for a quarantine.
+     * @return {@code true} if the part is in quarantine.
      */
-    private boolean isQuarantined(String part, long nowMillis) {
-        Entry entry = entries.get(part);
-        if (entry == null
-                || entry.isExpired(nowMillis)
+    private boolean isQuarantined(Entry entry, long nowMillis) {
+        if (entry.isExpired(nowMillis)
                 || entry.crashMillis.size() < QUARANTINE_THRESHOLD
                 || entry.otherCompletions(completions) < MINIMUM_OTHER_COMPLETIONS) {
             return false;
@@ -337,6 +342,16 @@
                             Math.max(reportedCompletions, completions - completionsBefore));
         }
 
+        /**
+         * Returns {@code true} if the same endpoints crashed under another part.
+         *
+         * @param other The crashes under the other part.
+         * @return {@code true} if the crashes do not tell the parts apart.
+         */
+        private boolean hasSameCrashes(Entry other) {
+            return crashMillis.keySet().equals(other.crashMillis.keySet());
+        }
+
         /**
          * Returns {@code true} if the crashes are too old to count, or the notice of a cleared part
          * was sent.
--- a/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/exchange/RequestCrashHistory.java
+++ b/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/exchange/RequestCrashHistory.java
@@ -17,9 +17,9 @@
 
 /**
  * Records and looks up how often endpoints crashed while they executed requests with the same
- * content as a given request, or with one of its prompt parts. The content is not hashed while no
- * crash of any request is recorded. This class is not thread-safe: it is confined to the event
- * loop's thread.
+ * content as a given request, or with one of its prompt parts. The content is not hashed and the
+ * parts are not listed while no crash of any request is recorded. This class is not thread-safe: it
+ * is confined to the event loop's thread.
  */
 final class RequestCrashHistory {
 
@@ -35,8 +35,8 @@
     /** The recorded crashes by prompt part. */
     private final PartCrashTracker partTracker;
 
-    /** The identifiers of the prompt parts that other requests may share. */
-    private final List<String> sharedParts;
+    /** The prompt, or empty if the request is no model request. */
+    private final Optional<Prompt> prompt;
 
     /** The workspace, or empty if the caller has none. */
     private final Optional<Workspace> workspace;
@@ -69,11 +69,7 @@
             byte[] body) {
         this.tracker = tracker;
         this.partTracker = partTracker;
-        sharedParts =
-                prompt.stream()
-                        .flatMap(described -> described.sharedParts().stream())
-                        .map(PromptPart::id)
-                        .toList();
+        this.prompt = prompt;
         this.workspace = workspace;
         this.head = head;
         this.body = body;
@@ -98,7 +94,21 @@
      * @return The identifier of the part, or empty if no part forbids the request.
      */
     Optional<String> quarantinedPart(long nowMillis) {
-        return partTracker.findQuarantined(sharedParts, nowMillis);
+        return partTracker.isEmpty()
+                ? Optional.empty()
+                : partTracker.findQuarantined(sharedParts(), nowMillis);
+    }
+
+    /**
+     * Returns the identifiers of the prompt parts that other requests may share.
+     *
+     * @return The identifiers, none if the request is no model request.
+     */
+    private List<String> sharedParts() {
+        return prompt.stream()
+                .flatMap(described -> described.sharedParts().stream())
+                .map(PromptPart::id)
+                .toList();
     }
 
     /**
@@ -109,7 +119,7 @@
      * @return The number of endpoints that crashed under requests with the same content.
      */
     int recordCrash(String incarnation, long nowMillis) {
-        partTracker.recordCrash(sharedParts, incarnation, nowMillis);
+        partTracker.recordCrash(sharedParts(), incarnation, nowMillis);
         tracker.recordCrash(fingerprint(), incarnation, nowMillis);
         return tracker.crashCount(fingerprint());
     }
@@ -123,7 +133,8 @@
      */
     void recordResponse(boolean isSuccess, long nowMillis) {
         if (isSuccess) {
-            partTracker.recordCompletion(sharedParts, nowMillis);
+            partTracker.recordCompletion(
+                    partTracker.isEmpty() ? List.of() : sharedParts(), nowMillis);
         }
         if (!tracker.isEmpty()) {
             tracker.recordCompletion(fingerprint(), nowMillis);
