--- a/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/exchange/GatewayContext.java
+++ b/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/exchange/GatewayContext.java
@@ -1,6 +1,7 @@
 package io.chicorytrestle.gateway.exchange;
 
 import com.google.common.flogger.FluentLogger;
+import com.google.errorprone.annotations.CompileTimeConstant;
 import io.activej.reactor.nio.NioReactor;
 import io.chicorytrestle.core.blackboard.Blackboard;
 import io.chicorytrestle.core.limit.RetryAllowance;
@@ -215,19 +216,22 @@
     }
 
     /**
-     * Logs the prompt parts in quarantine if they changed.
+     * Logs a set if it changed.
      *
-     * @param nowMillis The current time in milliseconds.
+     * @param event The name of the event that is logged.
+     * @param previous The set at the last step.
+     * @param current The set now.
+     * @return The set now.
      */
-    private void reportQuarantinedParts(long nowMillis) {
-        Set<String> quarantined = partCrashes.quarantined(nowMillis);
-        if (!quarantined.equals(lastQuarantinedParts)) {
+    private static Set<String> logIfChanged(
+            @CompileTimeConstant String event, Set<String> previous, Set<String> current) {
+        if (!current.equals(previous)) {
             LOGGER.atWarning()
-                    .with(LogFields.OUTCOME, quarantined.toString())
-                    .with(LogFields.REASON, lastQuarantinedParts.toString())
-                    .log("quarantined_parts_changed");
-            lastQuarantinedParts = quarantined;
+                    .with(LogFields.OUTCOME, current.toString())
+                    .with(LogFields.REASON, previous.toString())
+                    .log(event);
         }
+        return current;
     }
 
     /**
@@ -241,16 +245,15 @@
         outcomes.removeNegligible(nowMillis);
         crashes.removeExpired(nowMillis);
         partCrashes.removeExpired(nowMillis);
-        reportQuarantinedParts(nowMillis);
+        lastQuarantinedParts =
+                logIfChanged(
+                        "quarantined_parts_changed",
+                        lastQuarantinedParts,
+                        partCrashes.quarantined(nowMillis));
         endpointConnections.closeExpired();
         Set<String> unreachable = zoneReachability.unreachable(nowMillis);
-        if (!unreachable.equals(lastUnreachableZones)) {
-            LOGGER.atWarning()
-                    .with(LogFields.OUTCOME, unreachable.toString())
-                    .with(LogFields.REASON, lastUnreachableZones.toString())
-                    .log("unreachable_zones_changed");
-            lastUnreachableZones = unreachable;
-        }
+        lastUnreachableZones =
+                logIfChanged("unreachable_zones_changed", lastUnreachableZones, unreachable);
         if (!unreachable.isEmpty()) {
             List.copyOf(exchanges).forEach(exchange -> exchange.abandonZones(unreachable));
             endpointConnections.closeIdleInZones(unreachable);
