--- a/chicorytrestle-bench/src/test/java/io/chicorytrestle/bench/DocumentationTest.java
+++ b/chicorytrestle-bench/src/test/java/io/chicorytrestle/bench/DocumentationTest.java
@@ -82,21 +82,23 @@
     }
 
     private static List<Path> testSources() throws IOException {
-        try (Stream<Path> files = Files.walk(ROOT)) {
-            List<Path> sources =
-                    files.filter(file -> file.toString().endsWith("Test.java")).toList();
-            assertThat(sources, is(not(empty())));
-            return sources;
-        }
+        return files(ROOT, "Test.java");
     }
 
     private static List<Path> pages() throws IOException {
-        try (Stream<Path> files = Files.walk(ROOT.resolve("docs"))) {
-            List<Path> pages =
-                    new ArrayList<>(files.filter(file -> file.toString().endsWith(".md")).toList());
-            pages.add(ROOT.resolve("README.md"));
-            assertThat(pages, is(not(empty())));
-            return pages;
+        List<Path> pages = files(ROOT.resolve("docs"), ".md");
+        pages.add(ROOT.resolve("README.md"));
+        return pages;
+    }
+
+    /** Returns the files below a folder whose names end so, of which there must be any. */
+    private static List<Path> files(Path folder, String suffix) throws IOException {
+        try (Stream<Path> paths = Files.walk(folder)) {
+            List<Path> files =
+                    new ArrayList<>(
+                            paths.filter(path -> path.toString().endsWith(suffix)).toList());
+            assertThat(files, is(not(empty())));
+            return files;
         }
     }
 
