--- a/review/standin/LateShedAnswer.java
+++ b/review/standin/LateShedAnswer.java
@@ -23,6 +23,8 @@
 
     private static final int BURST_REQUESTS = 4;
 
+    private static final int ROUNDS = 4;
+
     public static void main(String[] arguments) {
         new LateShedAnswer().run(arguments);
     }
@@ -52,10 +54,10 @@
             client.join();
         }
         worker.setSlots(CALM_SLOTS);
-        // As many at a time as before, so that each idle connection of the instance is used again.
-        for (int round = 0; round < CALM_REQUESTS / BURST_REQUESTS; round++) {
+        // More at a time than before, so that each idle connection of the instance is used again.
+        for (int round = 0; round < ROUNDS; round++) {
             List<Thread> clients = new ArrayList<>();
-            for (int index = 0; index < BURST_REQUESTS; index++) {
+            for (int index = 0; index < BURST_REQUESTS + 2; index++) {
                 clients.add(Http.daemon(() -> post(fleet, instance, statuses)));
             }
             for (Thread client : clients) {
@@ -64,6 +66,9 @@
         }
         Thread.sleep(500);
         fleet.log("the worker gave " + worker.answers() + " answers, one of them spoiled at most");
+        if (hasTrouble && !worker.hasSentLateCopy()) {
+            throw new IllegalStateException("The connection of the second answer was not reused");
+        }
         Set<String> run = new HashSet<>();
         for (Worker.Run started : worker.runs()) {
             run.add(started.requestId);
--- a/review/standin/Worker.java
+++ b/review/standin/Worker.java
@@ -47,6 +47,8 @@
 
     private int answers;
 
+    private volatile boolean hasSentLateCopy;
+
     Worker(Fleet fleet, Store store, String id, String service, String zone, int answerBytes)
             throws IOException {
         this.fleet = fleet;
@@ -85,6 +87,10 @@
         isShedRepeated = true;
     }
 
+    boolean hasSentLateCopy() {
+        return hasSentLateCopy;
+    }
+
     synchronized int answers() {
         return answers;
     }
@@ -178,6 +184,7 @@
                         + request.startLine + ", " + request.body.length + " bytes)");
         if (owesCopy) {
             output.write(SHED_ANSWER);
+            hasSentLateCopy = true;
             fleet.log("worker " + id + " sends the late second answer on this connection");
         }
         Thread.sleep(workMillis);
