Review case 5: a restarted instance forgets which request crashes workers

Case: a request crashes three workers and comes again at each instance after its turn in a rolling restart. Evidence: each restarted instance sends it on and crashes another worker.

--- a/review/standin/Case.java
+++ b/review/standin/Case.java
@@ -41,7 +41,13 @@
 
     /** Starts one instance a zone and waits until all are ready and know each other. */
     static List<Fleet.Instance> startFleet(Fleet fleet, Store store) throws Exception {
-        List<Fleet.Instance> instances = fleet.prepare(store, ZONES);
+        return startFleet(fleet, store, ZONES);
+    }
+
+    /** Starts one instance for each entry and waits until all are ready and know each other. */
+    static List<Fleet.Instance> startFleet(Fleet fleet, Store store, List<String> zones)
+            throws Exception {
+        List<Fleet.Instance> instances = fleet.prepare(store, zones);
         for (Fleet.Instance instance : instances) {
             instance.start();
         }
--- a/review/standin/Client.java
+++ b/review/standin/Client.java
@@ -24,6 +24,17 @@
 
     /** Sends a GET and returns its status, 0 if no response came. */
     static int get(Fleet fleet, Fleet.Instance instance, String id, int deadlineMillis) {
+        return send(fleet, instance, "GET", "/cufi504/2f", id, deadlineMillis);
+    }
+
+    /** Sends a request without a body and returns its status, 0 if no response came. */
+    static int send(
+            Fleet fleet,
+            Fleet.Instance instance,
+            String method,
+            String path,
+            String id,
+            int deadlineMillis) {
         long sentMillis = fleet.nowMillis();
         String outcome;
         int status = 0;
@@ -32,7 +43,7 @@
             socket.setSoTimeout(deadlineMillis);
             socket.getOutputStream()
                     .write(
-                            head("GET", "/cufi504/2f", id, deadlineMillis, 0)
+                            head(method, path, id, deadlineMillis, 0)
                                     .getBytes(StandardCharsets.ISO_8859_1));
             Http.Message response = Http.read(socket.getInputStream());
             status = response == null ? 0 : response.status();
@@ -41,7 +52,7 @@
             outcome = String.valueOf(exception.getMessage());
         }
         fleet.log(
-                "client: " + id + " sent at " + sentMillis + " ms to " + instance.name + ": "
+                "client: " + method + " " + path + " " + id + " sent at " + sentMillis + " ms to " + instance.name + ": "
                         + outcome);
         return status;
     }
--- a/review/standin/Fleet.java
+++ b/review/standin/Fleet.java
@@ -239,6 +239,14 @@
             process.destroy();
         }
 
+        /** Waits until the process has ended by itself. */
+        void awaitEnd() throws IOException, InterruptedException {
+            if (!process.waitFor(10, TimeUnit.SECONDS)) {
+                throw new IOException(name + " does not end after SIGTERM");
+            }
+            log(name + " has ended");
+        }
+
         void kill() {
             if (process != null) {
                 process.destroyForcibly();
--- a/review/standin/UnreadableEntry.java
+++ b/review/standin/UnreadableEntry.java
@@ -32,7 +32,7 @@
         for (Worker.Run run : leaving.runs()) {
             if (run.startMillis > ackMillis + BOUND_MILLIS) {
                 breaks.add(
-                        run.requestId + " reached " + leaving.id + " "
+                        run.requestId + " reached " + leaving.id() + " "
                                 + (run.startMillis - ackMillis)
                                 + " ms after the store acknowledged that it is draining");
             }
--- a/review/standin/Worker.java
+++ b/review/standin/Worker.java
@@ -6,7 +6,9 @@
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
+import java.util.HashSet;
 import java.util.List;
+import java.util.Set;
 
 /** A worker that registers in the store and runs requests; it records each request that it runs. */
 final class Worker implements AutoCloseable {
@@ -17,7 +19,10 @@
                             + "Content-Length: 0\r\n\r\n")
                     .getBytes(StandardCharsets.ISO_8859_1);
 
-    final String id;
+    /** The path of requests that crash each worker that begins to run them. */
+    static final String CRASHING_PATH = "/puxa403/crash";
+
+    private static final long DOWN_MILLIS = 2_500;
 
     final String service;
 
@@ -29,9 +34,15 @@
 
     private final int answerBytes;
 
-    private final long bornMillis = System.currentTimeMillis();
+    private final Set<Socket> open = new HashSet<>();
+
+    private volatile String id;
+
+    private volatile long bornMillis = System.currentTimeMillis();
+
+    private volatile ServerSocket listener;
 
-    private final ServerSocket listener;
+    private int incarnations = 1;
 
     private final List<Run> runs = new ArrayList<>();
 
@@ -58,7 +69,12 @@
         this.zone = zone;
         this.answerBytes = answerBytes;
         listener = new ServerSocket(0, 200, InetAddress.getByName(fleet.newHost()));
-        Http.daemon(this::acceptAll);
+        ServerSocket first = listener;
+        Http.daemon(() -> acceptAll(first));
+    }
+
+    String id() {
+        return id;
     }
 
     /** Writes the worker's entry with a state; returns the time of the acknowledgement. */
@@ -99,15 +115,52 @@
         return List.copyOf(runs);
     }
 
-    private void acceptAll() {
+    private void acceptAll(ServerSocket accepting) {
         try {
             while (true) {
-                Socket socket = listener.accept();
+                Socket socket = accepting.accept();
+                synchronized (this) {
+                    open.add(socket);
+                }
                 Http.daemon(() -> serve(socket));
             }
         } catch (IOException exception) {
-            // The listener was closed at the end of the case.
+            // The listener was closed by a crash or at the end of the case.
+        }
+    }
+
+    /** Resets all connections; the worker is back after some seconds as a new incarnation. */
+    private void crash() throws IOException {
+        fleet.log("worker " + id + " crashes");
+        listener.close();
+        Set<Socket> lost;
+        synchronized (this) {
+            lost = Set.copyOf(open);
+            open.clear();
         }
+        for (Socket socket : lost) {
+            socket.setSoLinger(true, 0);
+            Http.close(socket);
+        }
+        String crashedId = id;
+        Http.daemon(
+                () -> {
+                    try {
+                        Thread.sleep(DOWN_MILLIS);
+                        incarnations++;
+                        id = crashedId.split("-r")[0] + "-r" + incarnations;
+                        bornMillis = System.currentTimeMillis();
+                        ServerSocket next =
+                                new ServerSocket(0, 200, listener.getInetAddress());
+                        listener = next;
+                        Http.daemon(() -> acceptAll(next));
+                        register("ready");
+                        Thread.sleep(1_100);
+                        store.remove("servers/" + crashedId);
+                    } catch (IOException | InterruptedException exception) {
+                        fleet.log("worker " + crashedId + " does not come back: " + exception);
+                    }
+                });
     }
 
     private void serve(Socket socket) {
@@ -176,12 +229,17 @@
                             .getBytes(StandardCharsets.ISO_8859_1));
             return;
         }
+        boolean isCrashing = request.startLine.split(" ")[1].equals(CRASHING_PATH);
         synchronized (this) {
-            runs.add(new Run(requestId, fleet.nowMillis()));
+            runs.add(new Run(requestId, fleet.nowMillis(), isCrashing));
         }
         fleet.log(
                 "worker " + id + " of " + service + " runs " + requestId + " ("
                         + request.startLine + ", " + request.body.length + " bytes)");
+        if (isCrashing) {
+            crash();
+            return;
+        }
         if (owesCopy) {
             output.write(SHED_ANSWER);
             hasSentLateCopy = true;
@@ -210,9 +268,12 @@
 
         final long startMillis;
 
-        private Run(String requestId, long startMillis) {
+        final boolean isCrashing;
+
+        private Run(String requestId, long startMillis, boolean isCrashing) {
             this.requestId = requestId;
             this.startMillis = startMillis;
+            this.isCrashing = isCrashing;
         }
     }
 }
