Review case 4: a late list of the store brings back a worker that left

Evidence: the instance finds the removed worker again and sends it requests while it is in touch, later than drain_ms after the acknowledgement.

--- a/review/standin/Case.java
+++ b/review/standin/Case.java
@@ -61,7 +61,7 @@
         return instances;
     }
 
-    private static void requireServed(Fleet fleet, Fleet.Instance instance) throws Exception {
+    static void requireServed(Fleet fleet, Fleet.Instance instance) throws Exception {
         if (Client.get(fleet, instance, Client.newId(), 4_000) != 200) {
             throw new IllegalStateException(instance.name + " does not serve before the case");
         }
--- a/review/standin/Fleet.java
+++ b/review/standin/Fleet.java
@@ -189,6 +189,15 @@
             Files.writeString(folder.resolve(name + ".settings"), text);
         }
 
+        /** Writes the settings anew, with another address for the store. */
+        void useStore(String store, List<Instance> seedInstances) throws IOException {
+            List<String> seeds = new ArrayList<>();
+            for (Instance seed : seedInstances) {
+                seeds.add(seed.peer);
+            }
+            writeSettings(store, seeds);
+        }
+
         void start() throws IOException {
             List<String> words = new ArrayList<>(List.of(deployFile(RUN_LINE).split(" ")));
             ProcessBuilder builder = new ProcessBuilder(words);
--- a/review/standin/Store.java
+++ b/review/standin/Store.java
@@ -6,6 +6,7 @@
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.Base64;
 import java.util.HashSet;
 import java.util.List;
@@ -30,6 +31,10 @@
 
     private long revision = 1;
 
+    private String removedAfterListing = "";
+
+    private long removedMillis = -1;
+
     Store(Fleet fleet) throws IOException {
         this.fleet = fleet;
         listener = new ServerSocket(0, 200, InetAddress.getByName(fleet.newHost()));
@@ -73,6 +78,19 @@
         return fleet.nowMillis();
     }
 
+    /** Removes an item as soon as the next listing of the workers has been read. */
+    synchronized void removeAfterNextListing(String key) {
+        removedAfterListing = key;
+    }
+
+    /** Returns when that item was removed. */
+    synchronized long awaitRemoval() throws InterruptedException {
+        while (removedMillis < 0) {
+            wait();
+        }
+        return removedMillis;
+    }
+
     /** From now on the open connections carry nothing and stay open; new ones work. */
     synchronized void silenceOpenConnections() {
         silent.addAll(open);
@@ -111,12 +129,14 @@
                 }
                 int status = body == null ? 404 : 200;
                 byte[] bytes = (body == null ? "{}" : body).getBytes(StandardCharsets.UTF_8);
-                OutputStream output = socket.getOutputStream();
-                output.write(
+                byte[] head =
                         ("HTTP/1.1 " + status + " X\r\nContent-Type: application/json\r\n"
                                         + "Content-Length: " + bytes.length + "\r\n\r\n")
-                                .getBytes(StandardCharsets.ISO_8859_1));
-                output.write(bytes);
+                                .getBytes(StandardCharsets.ISO_8859_1);
+                byte[] answer = Arrays.copyOf(head, head.length + bytes.length);
+                System.arraycopy(bytes, 0, answer, head.length, bytes.length);
+                OutputStream output = socket.getOutputStream();
+                output.write(answer);
                 output.flush();
             }
         } catch (IOException | InterruptedException exception) {
@@ -138,8 +158,13 @@
                             found.add(item);
                         }
                     });
+            long listedRevision = revision;
+            if (prefix.equals("servers/") && !removedAfterListing.isEmpty()) {
+                removedMillis = remove(removedAfterListing);
+                removedAfterListing = "";
+            }
             return "{\"items\":[" + String.join(",", found)
-                    + "],\"more_pages\":false,\"store_revision\":" + revision + "}";
+                    + "],\"more_pages\":false,\"store_revision\":" + listedRevision + "}";
         }
         if (path.equals("/chicorytrestle/kv-key")) {
             String item = items.get(parameter(query, "key"));
