--- a/review/standin/Configuration.java
+++ b/review/standin/Configuration.java
@@ -9,16 +9,11 @@
 
     /** Returns a configuration whose routes go to the given service. */
     static String json(int version, String service) {
-        return json(version, service, 4_194_304);
-    }
-
-    /** Returns a configuration with a limit for the bodies of requests. */
-    static String json(int version, String service, long bodyBytes) {
         return "{\"version\":" + version + ",\"routes\":["
                 + route("r-safe", "/cufi504/", "idempotent", 2, 4000, service) + ","
                 + route("r-once", "/puxa403/", "non_idempotent", 1, 15000, service)
                 + "],\"services\":[" + service("huvo11a") + "," + service("wuno96b")
-                + "],\"limits\":{\"header_bytes\":16384,\"body_bytes\":" + bodyBytes + ","
+                + "],\"limits\":{\"header_bytes\":16384,\"body_bytes\":4194304,"
                 + "\"header_timeout_ms\":3000,\"idle_timeout_ms\":15000},"
                 + "\"tenants\":[{\"name\":\"hule930\",\"api_keys\":[\"" + KEY
                 + "\"],\"priority\":1}]}";
--- a/review/standin/Worker.java
+++ b/review/standin/Worker.java
@@ -42,6 +42,12 @@
 
     private volatile long workMillis = 20;
 
+    private volatile boolean isGrey;
+
+    private int requests;
+
+    private int failures;
+
     private int sequence = 1;
 
     Worker(Fleet fleet, Store store, String id, String service, String zone, int answerBytes)
@@ -77,6 +83,16 @@
         workMillis = millis;
     }
 
+    /** From now on fails crashing requests with status 500 before it begins to run them. */
+    void turnGrey() {
+        isGrey = true;
+    }
+
+    /** Returns the share of its requests that this worker has failed. */
+    synchronized double failedShare() {
+        return requests == 0 ? 0 : (double) failures / requests;
+    }
+
     synchronized List<Run> runs() {
         return List.copyOf(runs);
     }
@@ -163,11 +179,24 @@
         }
         boolean isCrashing = request.startLine.split(" ")[1].equals(CRASHING_PATH);
         synchronized (this) {
+            requests++;
             runs.add(new Run(requestId, fleet.nowMillis(), isCrashing));
         }
         fleet.log(
                 "worker " + id + " of " + service + " runs " + requestId + " ("
                         + request.startLine + ", " + request.body.length + " bytes)");
+        if (isCrashing && isGrey) {
+            synchronized (this) {
+                failures++;
+            }
+            fleet.log("worker " + id + " fails it with 500");
+            output.write(
+                    ("HTTP/1.1 500 Internal Server Error\r\n" + common
+                                    + "Chicorytrestle-Response-Seal: " + id + "." + requestId
+                                    + "\r\nContent-Length: 0\r\n\r\n")
+                            .getBytes(StandardCharsets.ISO_8859_1));
+            return;
+        }
         if (isCrashing) {
             crash();
             return;
