Read TROUBLE in each script, and end all processes with it

Case: the five cases, unchanged in what they play and check. Evidence: run.sh reads TROUBLE itself and passes it on. It ends what the player started, also when run.sh gets SIGTERM or the player is killed.

--- a/review/standin/Case.java
+++ b/review/standin/Case.java
@@ -11,14 +11,22 @@
     static final List<String> ZONES = List.of("zona-bravo", "zona-conchos", "zona-nazas");
 
     /** Whether the disruption takes place. */
-    final boolean hasTrouble = !"0".equals(System.getenv("TROUBLE"));
+    boolean hasTrouble;
 
     /** Plays the case and returns how the rule was broken, an empty list if it held. */
     abstract List<String> play(Fleet fleet) throws Exception;
 
+    /**
+     * Plays the case and exits.
+     *
+     * @param arguments The repository, the folder of the case, a folder for what is temporary, and
+     *     0 to leave the disruption out.
+     */
     final void run(String[] arguments) {
         int exitCode = 2;
-        try (Fleet fleet = new Fleet(Path.of(arguments[0]), Path.of(arguments[1]))) {
+        hasTrouble = !arguments[3].equals("0");
+        try (Fleet fleet =
+                new Fleet(Path.of(arguments[0]), Path.of(arguments[1]), Path.of(arguments[2]))) {
             Runtime.getRuntime().addShutdownHook(new Thread(fleet::killAll));
             fleet.log("TROUBLE=" + (hasTrouble ? 1 : 0));
             List<String> breaks = new ArrayList<>();
--- a/review/standin/Fleet.java
+++ b/review/standin/Fleet.java
@@ -1,5 +1,4 @@
 import java.io.BufferedWriter;
-import java.io.File;
 import java.io.IOException;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
@@ -8,6 +7,7 @@
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.nio.file.StandardOpenOption;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Random;
@@ -39,9 +39,18 @@
 
     private int nextHost = 1;
 
-    Fleet(Path repository, Path caseFolder) throws IOException {
+    private boolean isClosed;
+
+    /**
+     * Creates a fleet without instances.
+     *
+     * @param repository The root of the repository.
+     * @param caseFolder Receives the record.
+     * @param folder Receives settings, logs and the list of processes; the script removes it.
+     */
+    Fleet(Path repository, Path caseFolder, Path folder) throws IOException {
         this.repository = repository;
-        folder = Files.createTempDirectory("review-case");
+        this.folder = folder;
         record = Files.newBufferedWriter(caseFolder.resolve("record.txt"));
         Random random = new Random();
         network = "127." + (20 + random.nextInt(200)) + "." + random.nextInt(250) + ".";
@@ -103,8 +112,25 @@
         return matcher.group(1);
     }
 
+    /** Starts a process unless the case has ended, and lists it for the script. */
+    private synchronized Process startProcess(ProcessBuilder builder) throws IOException {
+        if (isClosed) {
+            throw new IOException("The case has ended");
+        }
+        Process process = builder.start();
+        Files.writeString(
+                folder.resolve("processes"),
+                process.pid() + "\n",
+                StandardOpenOption.CREATE,
+                StandardOpenOption.APPEND);
+        return process;
+    }
+
     /** Ends all processes that this case started. */
     void killAll() {
+        synchronized (this) {
+            isClosed = true;
+        }
         for (Instance instance : List.copyOf(instances)) {
             instance.kill();
         }
@@ -128,13 +154,6 @@
             }
         }
         record.close();
-        File[] files = folder.toFile().listFiles();
-        if (files != null) {
-            for (File file : files) {
-                Files.deleteIfExists(file.toPath());
-            }
-        }
-        Files.deleteIfExists(folder);
     }
 
     /** One entry instance in a process of its own. */
@@ -152,7 +171,7 @@
 
         final String peer;
 
-        private Process process;
+        private volatile Process process;
 
         private Instance(String name, String zone, String host) throws IOException {
             this.name = name;
@@ -207,7 +226,7 @@
             builder.redirectErrorStream(true);
             builder.redirectOutput(
                     ProcessBuilder.Redirect.appendTo(folder.resolve(name + ".log").toFile()));
-            process = builder.start();
+            process = startProcess(builder);
             log(name + " started on " + host);
         }
 
