--- a/review/standin/Worker.java
+++ b/review/standin/Worker.java
@@ -11,6 +11,12 @@
 /** A worker that registers in the store and runs requests; it records each request that it runs. */
 final class Worker implements AutoCloseable {
 
+    /** As {@code fleetbench wire} prints what a worker answers that sheds a request. */
+    private static final byte[] SHED_ANSWER =
+            ("HTTP/1.1 503 Service Unavailable\r\nChicorytrestle-Not-Executed: 1\r\n"
+                            + "Content-Length: 0\r\n\r\n")
+                    .getBytes(StandardCharsets.ISO_8859_1);
+
     final String id;
 
     final String service;
@@ -33,6 +39,14 @@
 
     private int sequence = 1;
 
+    private int slots = 64;
+
+    private int busySlots;
+
+    private boolean isShedRepeated;
+
+    private int answers;
+
     Worker(Fleet fleet, Store store, String id, String service, String zone, int answerBytes)
             throws IOException {
         this.fleet = fleet;
@@ -61,6 +75,20 @@
         workMillis = millis;
     }
 
+    /** Sets how many requests run at a time; further ones are shed. */
+    synchronized void setSlots(int count) {
+        slots = count;
+    }
+
+    /** Spoils one answer, the next shed one: a copy of it arrives where the next is expected. */
+    synchronized void repeatNextShedAnswerLate() {
+        isShedRepeated = true;
+    }
+
+    synchronized int answers() {
+        return answers;
+    }
+
     synchronized List<Run> runs() {
         return List.copyOf(runs);
     }
@@ -81,12 +109,23 @@
             socket.setTcpNoDelay(true);
             InputStream input = socket.getInputStream();
             OutputStream output = socket.getOutputStream();
+            boolean owesCopy = false;
             while (true) {
                 Http.Message request = Http.read(input);
                 if (request == null) {
                     break;
                 }
-                respond(request, output);
+                if (!enterSlot()) {
+                    output.write(SHED_ANSWER);
+                    owesCopy = takeRepeatedShed(request);
+                    continue;
+                }
+                try {
+                    respond(request, output, owesCopy);
+                } finally {
+                    leaveSlot();
+                }
+                owesCopy = false;
             }
         } catch (IOException | InterruptedException exception) {
             // The caller has left, or the case ends.
@@ -94,7 +133,30 @@
         Http.close(socket);
     }
 
-    private void respond(Http.Message request, OutputStream output)
+    private synchronized boolean enterSlot() {
+        answers++;
+        if (busySlots >= slots) {
+            return false;
+        }
+        busySlots++;
+        return true;
+    }
+
+    private synchronized void leaveSlot() {
+        busySlots--;
+    }
+
+    private synchronized boolean takeRepeatedShed(Http.Message request) {
+        boolean isRepeated = isShedRepeated;
+        isShedRepeated = false;
+        fleet.log(
+                "worker " + id + " is full and sheds "
+                        + request.headers.get("Chicorytrestle-Request-Id")
+                        + (isRepeated ? ", and will send a second answer late" : ""));
+        return isRepeated;
+    }
+
+    private void respond(Http.Message request, OutputStream output, boolean owesCopy)
             throws IOException, InterruptedException {
         String requestId = request.headers.get("Chicorytrestle-Request-Id");
         String expected = request.headers.get("Chicorytrestle-Expect-Instance");
@@ -114,6 +176,10 @@
         fleet.log(
                 "worker " + id + " of " + service + " runs " + requestId + " ("
                         + request.startLine + ", " + request.body.length + " bytes)");
+        if (owesCopy) {
+            output.write(SHED_ANSWER);
+            fleet.log("worker " + id + " sends the late second answer on this connection");
+        }
         Thread.sleep(workMillis);
         byte[] body = new byte[answerBytes];
         java.util.Arrays.fill(body, (byte) 'x');
