Log and count errors that interrupt a task of the event loop

After one entry with the text null (review/1) no instance followed the store's list of endpoints any more, and no line and no figure told why: ActiveJ hands such errors to a logger that the program does not bind. UnexpectedErrorReporter logs them as unexpected_error, with the place where they were thrown, at one line a second at most, and counts them.

--- a/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/Gateway.java
+++ b/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/Gateway.java
@@ -26,6 +26,7 @@
 import io.chicorytrestle.gateway.operations.AsyncLineWriter;
 import io.chicorytrestle.gateway.operations.GatewayMetrics;
 import io.chicorytrestle.gateway.operations.LogFields;
+import io.chicorytrestle.gateway.operations.UnexpectedErrorReporter;
 import io.chicorytrestle.gateway.settings.GatewaySettings;
 import io.netty.handler.codec.http.FullHttpResponse;
 import io.netty.handler.codec.http.HttpResponseStatus;
@@ -154,6 +155,7 @@
                 Eventloop.builder()
                         .withTimeProvider(() -> TimeUnit.NANOSECONDS.toMillis(System.nanoTime()))
                         .withInspector(eventLoopLag)
+                        .withFatalErrorHandler(new UnexpectedErrorReporter(metrics))
                         .withCurrentThread()
                         .build();
         reactor.keepAlive(true);
