Keep the watch of the endpoints when an entry cannot be read

Cause: the JSON library returns null for the text null and overflows the stack of an instance at some 900 levels of nesting. The error left the callback of the long poll, which would have sent the next one; the watch ended and still counted as reading.

JsonFields now returns an object or its one refusal.

--- a/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/document/JsonFields.java
+++ b/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/document/JsonFields.java
@@ -1,5 +1,7 @@
 package io.chicorytrestle.gateway.document;
 
+import com.fasterxml.jackson.core.JsonFactory;
+import com.fasterxml.jackson.core.StreamReadConstraints;
 import com.fasterxml.jackson.jr.ob.JSON;
 import java.io.IOException;
 import java.nio.charset.StandardCharsets;
@@ -15,6 +17,20 @@
  */
 public final class JsonFields {
 
+    /** The maximum number of nested objects and arrays, above that of any document in use. */
+    private static final int MAXIMUM_NESTING_DEPTH = 32;
+
+    /** Parses JSON; it refuses documents that would overflow the stack. */
+    private static final JSON PARSER =
+            JSON.builder(
+                            JsonFactory.builder()
+                                    .streamReadConstraints(
+                                            StreamReadConstraints.builder()
+                                                    .maxNestingDepth(MAXIMUM_NESTING_DEPTH)
+                                                    .build())
+                                    .build())
+                    .build();
+
     /** The field values by name. */
     private final Map<?, ?> values;
 
@@ -32,11 +48,28 @@
      *
      * @param bytes The JSON text in UTF-8.
      * @return The fields.
-     * @throws MalformedDocumentException If the text is not a JSON object.
+     * @throws MalformedDocumentException If the text is not a JSON object, is nested too deeply or
+     *     holds a number of too many digits.
      */
     public static JsonFields parse(byte[] bytes) throws MalformedDocumentException {
+        return new JsonFields(parseValues(new String(bytes, StandardCharsets.UTF_8)));
+    }
+
+    /**
+     * Parses a JSON object.
+     *
+     * @param text The JSON text.
+     * @return The field values by name.
+     * @throws MalformedDocumentException If the text is not a JSON object, is nested too deeply or
+     *     holds a number of too many digits.
+     */
+    public static Map<String, Object> parseValues(String text) throws MalformedDocumentException {
         try {
-            return new JsonFields(JSON.std.mapFrom(new String(bytes, StandardCharsets.UTF_8)));
+            Map<String, Object> values = PARSER.mapFrom(text);
+            if (values == null) {
+                throw new MalformedDocumentException("Document is null instead of a JSON object");
+            }
+            return values;
         } catch (IOException exception) {
             throw new MalformedDocumentException("Document is not a JSON object", exception);
         }
@@ -86,6 +119,22 @@
         throw new MalformedDocumentException("Field " + name + " is missing or not a whole number");
     }
 
+    /**
+     * Reads a required integer of at most 32 bits.
+     *
+     * @param name The name of the field.
+     * @return The integer.
+     * @throws MalformedDocumentException If the field is missing or not an integer of at most 32
+     *     bits.
+     */
+    public int smallInteger(String name) throws MalformedDocumentException {
+        long number = integer(name);
+        if (number != (int) number) {
+            throw new MalformedDocumentException("Field " + name + " is out of range: " + number);
+        }
+        return (int) number;
+    }
+
     /**
      * Reads an optional integer.
      *
--- a/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/settings/SettingsParser.java
+++ b/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/settings/SettingsParser.java
@@ -1,8 +1,8 @@
 package io.chicorytrestle.gateway.settings;
 
-import com.fasterxml.jackson.jr.ob.JSON;
+import io.chicorytrestle.gateway.document.JsonFields;
+import io.chicorytrestle.gateway.document.MalformedDocumentException;
 import io.chicorytrestle.gateway.link.Addresses;
-import java.io.IOException;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
@@ -36,14 +36,13 @@
      * @throws InvalidSettingsException If a setting is missing, malformed or out of range.
      */
     public static GatewaySettings parse(String text) throws InvalidSettingsException {
-        Map<String, Object> values;
         try {
-            values = JSON.std.mapFrom(text);
-        } catch (IOException exception) {
+            return new SettingsParser(JsonFields.parseValues(text)).readSettings();
+        } catch (MalformedDocumentException exception) {
+            Throwable cause = exception.getCause() == null ? exception : exception.getCause();
             throw new InvalidSettingsException(
-                    List.of("settings file is malformed: " + exception.getMessage()));
+                    List.of("settings file is malformed: " + cause.getMessage()));
         }
-        return new SettingsParser(values).readSettings();
     }
 
     /**
