Notice within seconds that connections to the store have gone silent

Cause: a long poll ends with the store's answer or after 0.7 of the store's history and 1.5 s. Evidence: store_lost, 'No response within 15500 ms', is the first sign in the logs, and no call is sent before it.

One reader in each zone is now primary: its polls last 1 s and time out 1 s later, so that it has read what was missed 2.2 s after the silence, within the 3 s that an instance has for a lost connection. It tells its zone at once. An instance that becomes primary replaces its poll, since the silence may have begun before. Each watch has connections of its own.

Failed before: StoreWatchTest.testWatchWhenOpenConnectionsGoSilent (15,419 ms instead of 3,000).

--- a/chicorytrestle-core/src/main/java/io/chicorytrestle/core/fleet/ReaderSelection.java
+++ b/chicorytrestle-core/src/main/java/io/chicorytrestle/core/fleet/ReaderSelection.java
@@ -35,12 +35,23 @@
      */
     public static boolean isReader(
             String self, StoreContact ownContact, Map<String, StoreContact> peers) {
-        if (ownContact == StoreContact.LOST) {
-            return true;
-        }
+        return roleOf(self, ownContact, peers).isReading();
+    }
+
+    /**
+     * Decides which part an instance has in reading the store.
+     *
+     * @param self The name of the instance.
+     * @param ownContact How the instance receives the list of endpoints now.
+     * @param peers The contact of every other instance of the zone that sent a heartbeat lately, by
+     *     name.
+     * @return The role; an instance that knows of no working reader is primary.
+     */
+    public static ReaderRole roleOf(
+            String self, StoreContact ownContact, Map<String, StoreContact> peers) {
         boolean hasReader = peers.containsValue(StoreContact.READING);
-        if (!hasReader) {
-            return true;
+        if (ownContact == StoreContact.LOST || !hasReader) {
+            return ReaderRole.PRIMARY;
         }
         List<String> candidates = new ArrayList<>();
         candidates.add(self);
@@ -50,7 +61,10 @@
                         candidates.add(name);
                     }
                 });
-        List<String> order = RendezvousOrder.order(ORDER_KEY, candidates);
-        return order.indexOf(self) < READERS;
+        int rank = RendezvousOrder.order(ORDER_KEY, candidates).indexOf(self);
+        if (rank >= READERS) {
+            return ReaderRole.FOLLOWER;
+        }
+        return rank == 0 ? ReaderRole.PRIMARY : ReaderRole.STANDBY;
     }
 }
--- a/chicorytrestle-core/src/test/java/io/chicorytrestle/core/fleet/ReaderSelectionTest.java
+++ b/chicorytrestle-core/src/test/java/io/chicorytrestle/core/fleet/ReaderSelectionTest.java
@@ -2,6 +2,7 @@
 
 import static org.hamcrest.MatcherAssert.assertThat;
 import static org.hamcrest.Matchers.equalTo;
+import static org.hamcrest.Matchers.hasSize;
 import static org.hamcrest.Matchers.is;
 
 import io.chicorytrestle.core.routing.RendezvousOrder;
@@ -55,6 +56,39 @@
         assertThat(others, equalTo(2L));
     }
 
+    /** Guards against a zone in which nobody notices that its connections have gone silent. */
+    @Test
+    void testRoleOfWhenInstancesAreLostOneAfterTheOther() {
+        Map<String, StoreContact> contacts = new HashMap<>();
+        NAMES.forEach(name -> contacts.put(name, StoreContact.READING));
+        while (contacts.size() > 1) {
+            List<String> primaries =
+                    contacts.keySet().stream()
+                            .filter(name -> roleOf(name, contacts) == ReaderRole.PRIMARY)
+                            .toList();
+            assertThat(primaries, hasSize(1));
+            contacts.remove(primaries.get(0));
+        }
+        assertThat(
+                roleOf(contacts.keySet().iterator().next(), contacts), equalTo(ReaderRole.PRIMARY));
+    }
+
+    @Test
+    void testRoleOfWhenThePrimaryLostTheStore() {
+        Map<String, StoreContact> contacts = new HashMap<>();
+        NAMES.forEach(name -> contacts.put(name, StoreContact.READING));
+        String lost =
+                NAMES.stream()
+                        .filter(name -> roleOf(name, contacts) == ReaderRole.PRIMARY)
+                        .findFirst()
+                        .get();
+        contacts.put(lost, StoreContact.LOST);
+
+        assertThat(
+                NAMES.stream().filter(name -> roleOf(name, contacts) == ReaderRole.PRIMARY).count(),
+                equalTo(2L));
+    }
+
     static boolean isFirst(String name, List<String> names) {
         return RendezvousOrder.order(ReaderSelection.ORDER_KEY, names).get(0).equals(name);
     }
@@ -66,9 +100,13 @@
     }
 
     private static boolean isReader(String name, Map<String, StoreContact> contacts) {
+        return roleOf(name, contacts).isReading();
+    }
+
+    private static ReaderRole roleOf(String name, Map<String, StoreContact> contacts) {
         Map<String, StoreContact> peers = new HashMap<>(contacts);
         StoreContact own = contacts.getOrDefault(name, StoreContact.FOLLOWING);
         peers.remove(name);
-        return ReaderSelection.isReader(name, own, peers);
+        return ReaderSelection.roleOf(name, own, peers);
     }
 }
--- a/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/fleet/FleetChannel.java
+++ b/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/fleet/FleetChannel.java
@@ -3,12 +3,14 @@
 import com.google.common.flogger.FluentLogger;
 import io.activej.net.SimpleServer;
 import io.activej.reactor.nio.NioReactor;
+import io.chicorytrestle.core.fleet.ReaderRole;
 import io.chicorytrestle.core.fleet.ReaderSelection;
 import io.chicorytrestle.core.fleet.StoreContact;
 import io.chicorytrestle.core.poison.CrashNotice;
 import io.chicorytrestle.core.poison.PartCrashNotice;
 import io.chicorytrestle.core.route.RoutingTable;
 import io.chicorytrestle.gateway.link.Addresses;
+import io.chicorytrestle.gateway.link.EventLoopLag;
 import io.chicorytrestle.gateway.operations.LogFields;
 import java.io.IOException;
 import java.nio.ByteBuffer;
@@ -84,6 +86,9 @@
     /** How this instance currently receives endpoint changes. */
     private StoreContact storeContact = StoreContact.LOST;
 
+    /** The part of this instance in reading the store. */
+    private ReaderRole role = ReaderRole.PRIMARY;
+
     /** Whether this instance accepts no more work. */
     private boolean isEnding;
 
@@ -119,8 +124,7 @@
                                 reactor,
                                 socket ->
                                         accepted.add(
-                                                new FleetConnection(
-                                                        socket, this::handle, accepted::remove)))
+                                                new FleetConnection(socket, this::handle, accepted::remove)))
                         .withListenAddress(Addresses.parse(self.address()))
                         .withSocketSettings(FleetConnections.SOCKET_SETTINGS)
                         .build();
@@ -142,16 +146,18 @@
     }
 
     /**
-     * Decides whether this instance reads the list of endpoints from the store itself.
+     * Decides which part this instance has in reading the store for its zone.
      *
      * @param ownContact How it receives endpoint changes now; sent in heartbeats from now on.
-     * @return {@code true} if it reads the store itself.
+     * @return The role.
      */
-    public boolean shouldReadEndpoints(StoreContact ownContact) {
+    public ReaderRole readerRole(StoreContact ownContact) {
         storeContact = ownContact;
         long nowMillis = reactor.currentTimeMillis();
-        return ReaderSelection.isReader(
-                self.name(), ownContact, members.zoneStoreContacts(nowMillis));
+        role =
+                ReaderSelection.roleOf(
+                        self.name(), ownContact, members.zoneStoreContacts(nowMillis));
+        return role;
     }
 
     /**
@@ -174,9 +180,17 @@
                 >= LARGE_ZONE_INSTANCES;
     }
 
-    /** Relays the current routing table along the zone's relay tree, if the zone is large. */
+    /**
+     * Relays the current routing table along the zone's relay tree, if the zone is large. In a
+     * smaller zone the primary reader only announces it, because the others read it themselves
+     * unless their connections have gone silent.
+     */
     public void relayTable() {
-        if (isZoneLarge()) {
+        if (!isZoneLarge()) {
+            if (role == ReaderRole.PRIMARY) {
+                announceTable();
+            }
+        } else {
             long nowMillis = reactor.currentTimeMillis();
             byte[] message =
                     FleetCodec.encode(
@@ -188,6 +202,12 @@
         }
     }
 
+    /** Sends a heartbeat to the zone at once, which states the version of the routing table. */
+    private void announceTable() {
+        long nowMillis = reactor.currentTimeMillis();
+        sendHeartbeat(members.reachableZoneAddresses(nowMillis), nowMillis);
+    }
+
     /**
      * Sends changes of the store's list of endpoints to all reachable instances of the zone.
      *
@@ -227,7 +247,16 @@
     public void sendHeartbeat(long nowMillis) {
         members.expire(nowMillis);
         observations.loads().setExpectedPeers(members.size());
-        List<String> targets = members.nextTargets(storeContact, nowMillis);
+        sendHeartbeat(members.nextTargets(storeContact, nowMillis), nowMillis);
+    }
+
+    /**
+     * Sends a heartbeat.
+     *
+     * @param targets The addresses to which it is sent, possibly none.
+     * @param nowMillis The current time in milliseconds.
+     */
+    private void sendHeartbeat(List<String> targets, long nowMillis) {
         if (targets.isEmpty()) {
             return;
         }
@@ -330,6 +359,17 @@
         for (String leaving : heartbeat.leaving()) {
             fleetState.markLeaving(leaving, heartbeat.sender().name(), nowMillis);
         }
+        requestSnapshotIfBehind(heartbeat, nowMillis);
+    }
+
+    /**
+     * Requests a snapshot from the sender of a heartbeat if it has had newer state for some time,
+     * or once that time has passed.
+     *
+     * @param heartbeat The heartbeat.
+     * @param nowMillis The current time in milliseconds.
+     */
+    private void requestSnapshotIfBehind(Heartbeat heartbeat, long nowMillis) {
         boolean isBehind =
                 heartbeat.tableVersion() > fleetState.tableVersion()
                         || heartbeat.endpointRevision() > fleetState.endpointRevision();
@@ -340,6 +380,10 @@
         if (!state.equals(behindState)) {
             behindState = state;
             behindSinceMillis = nowMillis;
+            EventLoopLag.delayUntilInputIsHandled(
+                    reactor,
+                    STORE_LAG_TIMEOUT_MILLIS,
+                    () -> requestSnapshotIfBehind(heartbeat, reactor.currentTimeMillis()));
         }
         boolean isDue =
                 nowMillis - behindSinceMillis >= STORE_LAG_TIMEOUT_MILLIS
--- a/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/link/PooledHttpClient.java
+++ b/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/link/PooledHttpClient.java
@@ -24,7 +24,10 @@
 import java.time.Duration;
 import java.util.ArrayDeque;
 import java.util.Deque;
+import java.util.HashSet;
+import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import org.jspecify.annotations.Nullable;
 
 /** HTTP client for one server that reuses idle connections. Confined to the event loop thread. */
@@ -46,6 +49,9 @@
     /** The idle connections, the most recently used one first. */
     private final Deque<PooledConnection> idleConnections = new ArrayDeque<>();
 
+    /** The connections that wait for a response. */
+    private final Set<PooledConnection> busyConnections = new HashSet<>();
+
     /**
      * Creates a client without connections.
      *
@@ -117,6 +123,13 @@
         idleConnections.clear();
     }
 
+    /** Closes the connections that wait for a response, so that the requests fail at once. */
+    public void closeBusy() {
+        for (PooledConnection connection : List.copyOf(busyConnections)) {
+            connection.onFailure(new IOException("Connection was closed locally"));
+        }
+    }
+
     /** A complete response. */
     public static final class Response {
 
@@ -201,6 +214,7 @@
         private void send(
                 FullHttpRequest request, SettablePromise<Response> promise, long timeoutMillis) {
             responsePromise = promise;
+            busyConnections.add(this);
             responseBody.reset();
             timer =
                     EventLoopLag.delayUntilInputIsHandled(
@@ -263,6 +277,7 @@
         private @Nullable SettablePromise<Response> takePromise() {
             SettablePromise<Response> promise = responsePromise;
             responsePromise = null;
+            busyConnections.remove(this);
             if (timer != null && timer.isActive()) {
                 timer.cancel();
             }
