Notice that a connection between instances has gone silent

Instances kept sending heartbeats, changes of endpoints and notices of crashes into connections that had gone silent, for as long as they heard the peer on a connection of its own; callers' requests then went by what the others had known before.

Cause: the sender had no sign of the loss. Messages went one way, and writes into a silent connection succeed, since the operating system buffers them.

A connection with a message unacknowledged for one second is closed, and the next heartbeat opens another; peer_connection_silent names the peer. Heartbeats are timed after pending input, so that an event loop behind does not take its own delay for silence. Connections that a peer has replaced are closed after two minutes.

--- a/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/Gateway.java
+++ b/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/Gateway.java
@@ -400,7 +400,9 @@
     private void sendHeartbeat() {
         if (!isShuttingDown) {
             fleet.sendHeartbeat(reactor.currentTimeMillis());
-            reactor.delayBackground(HEARTBEAT_INTERVAL_MILLIS, this::sendHeartbeat);
+            // Acknowledgements that have arrived must be read before a connection counts as silent.
+            EventLoopLag.delayUntilInputIsHandled(
+                    reactor, HEARTBEAT_INTERVAL_MILLIS, this::sendHeartbeat);
         }
     }
 
--- a/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/fleet/FleetChannel.java
+++ b/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/fleet/FleetChannel.java
@@ -44,6 +44,12 @@
      */
     private static final int LARGE_ZONE_INSTANCES = 8;
 
+    /**
+     * The time in milliseconds without a message after which a peer's connection is closed, several
+     * intervals between heartbeats to one instance of a large fleet.
+     */
+    private static final long ACCEPTED_IDLE_MILLIS = 120_000;
+
     /** The event loop. */
     private final NioReactor reactor;
 
@@ -124,7 +130,11 @@
                                 reactor,
                                 socket ->
                                         accepted.add(
-                                                new FleetConnection(socket, this::handle, accepted::remove)))
+                                                new FleetConnection(
+                                                        socket,
+                                                        reactor::currentTimeMillis,
+                                                        this::handle,
+                                                        accepted::remove)))
                         .withListenAddress(Addresses.parse(self.address()))
                         .withSocketSettings(FleetConnections.SOCKET_SETTINGS)
                         .build();
@@ -246,10 +256,25 @@
      */
     public void sendHeartbeat(long nowMillis) {
         members.expire(nowMillis);
+        connections.closeSilent(nowMillis);
+        closeIdleAccepted(nowMillis);
         observations.loads().setExpectedPeers(members.size());
         sendHeartbeat(members.nextTargets(storeContact, nowMillis), nowMillis);
     }
 
+    /**
+     * Closes connections of peers that have probably replaced them after they had gone silent.
+     *
+     * @param nowMillis The current time in milliseconds.
+     */
+    private void closeIdleAccepted(long nowMillis) {
+        for (FleetConnection connection : List.copyOf(accepted)) {
+            if (connection.isIdle(nowMillis, ACCEPTED_IDLE_MILLIS)) {
+                connection.close(new IOException("Connection is idle"));
+            }
+        }
+    }
+
     /**
      * Sends a heartbeat.
      *
--- a/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/fleet/FleetCodec.java
+++ b/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/fleet/FleetCodec.java
@@ -33,6 +33,9 @@
     /** The number that starts a relayed routing table. */
     private static final int PUBLISHED_TABLE = 5;
 
+    /** The number that starts an acknowledgement. */
+    private static final int ACKNOWLEDGEMENT = 6;
+
     /** Prevents instantiation. */
     private FleetCodec() {}
 
@@ -61,6 +64,8 @@
                 packer.packInt(PUBLISHED_TABLE);
                 packer.packString(published.sender());
                 pack(packer, published.table());
+            } else if (message instanceof Acknowledgement) {
+                packer.packInt(ACKNOWLEDGEMENT);
             }
             return packer.toByteArray();
         } catch (IOException exception) {
@@ -85,6 +90,7 @@
                 case ENDPOINT_CHANGES -> unpackChanges(unpacker);
                 case PUBLISHED_TABLE ->
                         new PublishedTable(unpacker.unpackString(), unpackBytes(unpacker));
+                case ACKNOWLEDGEMENT -> Acknowledgement.INSTANCE;
                 default -> throw new IOException("Unknown kind of message: " + kind);
             };
         } catch (RuntimeException exception) {
--- a/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/fleet/FleetConnection.java
+++ b/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/fleet/FleetConnection.java
@@ -11,6 +11,7 @@
 import java.io.IOException;
 import java.util.function.BiConsumer;
 import java.util.function.Consumer;
+import java.util.function.LongSupplier;
 
 /**
  * Sends and receives length-prefixed messages on one connection. It is confined to the event loop's
@@ -27,13 +28,23 @@
      */
     private static final long WRITE_TIMEOUT_MILLIS = 800;
 
+    /**
+     * The longest time in milliseconds for which a peer may leave messages unacknowledged. Beyond
+     * it the connection has gone silent: writes still succeed, since the operating system buffers
+     * them.
+     */
+    private static final long SILENCE_TIMEOUT_MILLIS = 1_000;
+
     /** The maximum size in bytes of a frame's length prefix. */
     private static final int MAXIMUM_LENGTH_BYTES = 5;
 
     /** The connected socket. */
     private final ITcpSocket socket;
 
-    /** Receives the decoded messages. */
+    /** Supplies the current time in milliseconds. */
+    private final LongSupplier clock;
+
+    /** Receives the decoded messages, except acknowledgements. */
     private final BiConsumer<FleetConnection, FleetMessage> receiver;
 
     /** Called once when the connection is closed. */
@@ -45,6 +56,12 @@
     /** The time in milliseconds since which writes are pending without a break. */
     private long pendingSinceMillis;
 
+    /** The time in milliseconds since which a message is unacknowledged; negative if none. */
+    private long unansweredSinceMillis = -1;
+
+    /** The time in milliseconds of the last message that was received. */
+    private long receivedMillis;
+
     /** Whether the connection was closed; later messages are dropped. */
     private boolean isClosed;
 
@@ -52,15 +69,19 @@
      * Creates a connection on an open socket and starts to read.
      *
      * @param socket The connected socket.
-     * @param receiver Receives the decoded messages.
+     * @param clock Supplies the current time in milliseconds.
+     * @param receiver Receives the decoded messages, except acknowledgements.
      * @param closeListener Called once when the connection is closed.
      */
     FleetConnection(
             ITcpSocket socket,
+            LongSupplier clock,
             BiConsumer<FleetConnection, FleetMessage> receiver,
             Consumer<FleetConnection> closeListener) {
         this.socket = socket;
+        this.clock = clock;
         this.receiver = receiver;
+        receivedMillis = clock.getAsLong();
         this.closeListener = closeListener;
         BinaryChannelSupplier.of(ChannelSuppliers.ofSocket(socket))
                 .decodeStream(ByteBufsDecoders.ofVarIntSizePrefixedBytes(MAXIMUM_FRAME_BYTES))
@@ -81,9 +102,20 @@
      */
     private void receive(ByteBuf buffer) throws IOException {
         byte[] frame = buffer.asArray();
-        if (!isClosed) {
-            receiver.accept(this, FleetCodec.decode(frame));
+        if (isClosed) {
+            return;
+        }
+        unansweredSinceMillis = -1;
+        receivedMillis = clock.getAsLong();
+        FleetMessage message = FleetCodec.decode(frame);
+        if (message == Acknowledgement.INSTANCE) {
+            return;
+        }
+        // A snapshot is itself the answer to a request.
+        if (!(message instanceof Snapshot)) {
+            write(FleetCodec.encode(Acknowledgement.INSTANCE), receivedMillis);
         }
+        receiver.accept(this, message);
     }
 
     /**
@@ -93,6 +125,19 @@
      * @param nowMillis The current time in milliseconds.
      */
     void send(byte[] message, long nowMillis) {
+        if (unansweredSinceMillis < 0) {
+            unansweredSinceMillis = nowMillis;
+        }
+        write(message, nowMillis);
+    }
+
+    /**
+     * Writes a message with its length prefix, unless the connection was closed.
+     *
+     * @param message The encoded message.
+     * @param nowMillis The current time in milliseconds.
+     */
+    private void write(byte[] message, long nowMillis) {
         if (isClosed) {
             return;
         }
@@ -116,6 +161,29 @@
         return pendingWrites > 0 && nowMillis - pendingSinceMillis > WRITE_TIMEOUT_MILLIS;
     }
 
+    /**
+     * Returns {@code true} if the peer has left messages unacknowledged for too long. Only the side
+     * that opened the connection can tell, since snapshots are not acknowledged.
+     *
+     * @param nowMillis The current time in milliseconds.
+     * @return {@code true} if the connection has gone silent.
+     */
+    boolean isSilent(long nowMillis) {
+        return unansweredSinceMillis >= 0
+                && nowMillis - unansweredSinceMillis > SILENCE_TIMEOUT_MILLIS;
+    }
+
+    /**
+     * Returns {@code true} if nothing was received for some time.
+     *
+     * @param nowMillis The current time in milliseconds.
+     * @param idleMillis That time in milliseconds.
+     * @return {@code true} if the peer has probably replaced the connection.
+     */
+    boolean isIdle(long nowMillis, long idleMillis) {
+        return nowMillis - receivedMillis > idleMillis;
+    }
+
     /**
      * Closes the connection and calls the listener, unless it was closed before.
      *
--- a/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/fleet/FleetConnections.java
+++ b/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/fleet/FleetConnections.java
@@ -1,9 +1,11 @@
 package io.chicorytrestle.gateway.fleet;
 
+import com.google.common.flogger.FluentLogger;
 import io.activej.net.socket.tcp.TcpSocket;
 import io.activej.reactor.net.SocketSettings;
 import io.activej.reactor.nio.NioReactor;
 import io.chicorytrestle.gateway.link.Addresses;
+import io.chicorytrestle.gateway.operations.LogFields;
 import java.io.IOException;
 import java.time.Duration;
 import java.util.HashMap;
@@ -15,6 +17,9 @@
 /** Keeps the connections that this instance opened to others. It is confined to the event loop. */
 final class FleetConnections {
 
+    /** Logs connections that have gone silent. */
+    private static final FluentLogger LOGGER = FluentLogger.forEnclosingClass();
+
     /** The options of a socket. */
     static final SocketSettings SOCKET_SETTINGS =
             SocketSettings.builder().withTcpNoDelay(true).build();
@@ -79,6 +84,22 @@
         }
     }
 
+    /**
+     * Closes the connections that have gone silent, so that the next message opens new ones.
+     *
+     * @param nowMillis The current time in milliseconds.
+     */
+    void closeSilent(long nowMillis) {
+        for (Map.Entry<String, FleetConnection> entry : Map.copyOf(connections).entrySet()) {
+            if (entry.getValue().isSilent(nowMillis)) {
+                LOGGER.atInfo()
+                        .with(LogFields.ADDRESS, entry.getKey())
+                        .log("peer_connection_silent");
+                entry.getValue().close(new IOException("Connection has gone silent"));
+            }
+        }
+    }
+
     /**
      * Registers a new connection and sends the message that waited for it.
      *
@@ -89,7 +110,10 @@
     private void connected(String address, TcpSocket socket, byte[] message) {
         FleetConnection connection =
                 new FleetConnection(
-                        socket, receiver, closed -> connections.remove(address, closed));
+                        socket,
+                        reactor::currentTimeMillis,
+                        receiver,
+                        closed -> connections.remove(address, closed));
         connections.put(address, connection);
         connection.send(message, reactor.currentTimeMillis());
     }
--- a/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/fleet/FleetMessage.java
+++ b/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/fleet/FleetMessage.java
@@ -2,4 +2,9 @@
 
 /** A message from one instance to another. */
 public sealed interface FleetMessage
-        permits Heartbeat, SnapshotRequest, Snapshot, EndpointChanges, PublishedTable {}
+        permits Heartbeat,
+                SnapshotRequest,
+                Snapshot,
+                EndpointChanges,
+                PublishedTable,
+                Acknowledgement {}
--- a/chicorytrestle-gateway/src/test/java/io/chicorytrestle/gateway/fleet/FleetCodecTest.java
+++ b/chicorytrestle-gateway/src/test/java/io/chicorytrestle/gateway/fleet/FleetCodecTest.java
@@ -53,6 +53,13 @@
         assertThat(FleetCodec.decode(FleetCodec.encode(published)), equalTo(published));
     }
 
+    @Test
+    void testDecodeWhenAcknowledgement() throws IOException {
+        assertThat(
+                FleetCodec.decode(FleetCodec.encode(Acknowledgement.INSTANCE)),
+                equalTo(Acknowledgement.INSTANCE));
+    }
+
     @Test
     void testDecodeWhenSnapshot() throws IOException {
         Snapshot snapshot =
