Take only a refusal that names the request for a promise

Cause: EndpointConnection skipped a successful response that names no request, but took a failure that names none for the response to the request under way. Evidence: the second test gets 503 for r2, which the endpoint answers right after.

Such a response is now skipped on a connection that carried an earlier request. On a new connection it ends the attempt as one that may have run, and 421 is no longer forwarded without a name either.

Failed before: PlatformPathTest.testResponseWhenRefusalNamesNoRequest and testResponseWhenEarlierRefusalIsWrittenOnceMore.

--- a/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/endpoint/EndpointConnection.java
+++ b/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/endpoint/EndpointConnection.java
@@ -51,6 +51,9 @@
     /** Whether the connection may be used for another request. */
     private boolean isReusable = true;
 
+    /** Whether the connection carried another request before. */
+    private boolean isReused;
+
     /** The time in milliseconds after which the endpoint closes an idle connection. */
     private long keepAliveMillis;
 
@@ -98,6 +101,7 @@
      */
     public void send(FullHttpRequest request, String id, ResponseListener responseListener) {
         listener = responseListener;
+        isReused = !requestId.isEmpty();
         requestId = id;
         phase = Phase.HEAD;
         decoder.setHeadRequest(request.method().equals(HttpMethod.HEAD));
@@ -171,7 +175,8 @@
 
     /**
      * Handles the head of a response. An interim response and one that names another request are
-     * skipped; a successful one that names none is skipped, too.
+     * skipped. So is one that names none, if it is successful or may repeat the response to an
+     * earlier request; the response to this one can still follow.
      *
      * @param head The head.
      * @param responseListener Receives the response.
@@ -185,8 +190,8 @@
         boolean isForeign =
                 metadata.requestId().isPresent()
                         ? !metadata.requestId().get().equals(requestId)
-                        : head.status().codeClass() == HttpStatusClass.SUCCESS;
-        isReusable &= HttpUtil.isKeepAlive(head) && !isForeign;
+                        : isReused || head.status().codeClass() == HttpStatusClass.SUCCESS;
+        isReusable &= HttpUtil.isKeepAlive(head) && !isForeign && metadata.requestId().isPresent();
         metadata.keepAliveMillis().ifPresent(millis -> keepAliveMillis = millis);
         if (isForeign) {
             phase = Phase.SKIPPED;
--- a/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/exchange/Attempt.java
+++ b/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/exchange/Attempt.java
@@ -219,9 +219,12 @@
             progressMonitor.end();
         }
         boolean isSuccess = response.status().codeClass() == HttpStatusClass.SUCCESS;
+        // Only a response that names the request can promise that it never runs.
         boolean isNotExecuted =
-                metadata.isNotExecuted()
-                        || response.status().equals(HttpResponseStatus.MISDIRECTED_REQUEST);
+                metadata.requestId().isPresent()
+                        && (metadata.isNotExecuted()
+                                || response.status()
+                                        .equals(HttpResponseStatus.MISDIRECTED_REQUEST));
         if (isNotExecuted) {
             handling = ResponseHandling.NOT_EXECUTED;
         } else if (isSuccess
@@ -245,7 +248,8 @@
     private static boolean impliesNotExecuted(HttpResponseStatus status) {
         return status.equals(HttpResponseStatus.SERVICE_UNAVAILABLE)
                 || status.equals(HttpResponseStatus.TOO_MANY_REQUESTS)
-                || status.equals(HttpResponseStatus.REQUEST_TIMEOUT);
+                || status.equals(HttpResponseStatus.REQUEST_TIMEOUT)
+                || status.equals(HttpResponseStatus.MISDIRECTED_REQUEST);
     }
 
     /**
