Keep an endpoint's failure out of a stream that another endpoint began

Cause: a failure beyond the 262,144 bytes that are buffered is forwarded as it arrives, also when the head of a stream has been sent before. Evidence: the test finds 'error' in the caller's stream for statuses 500, 400 and 302.

Such a failure now ends the attempt, as a smaller one does: the stream is resumed elsewhere where that is allowed, and else visibly cut.

--- a/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/exchange/Attempt.java
+++ b/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/exchange/Attempt.java
@@ -277,7 +277,9 @@
             byte[] bytes = new byte[content.readableBytes()];
             content.readBytes(bytes);
             bufferedBody.writeBytes(bytes);
-            if (bufferedBody.size() > MAXIMUM_BUFFERED_BYTES && head != null) {
+            if (bufferedBody.size() > MAXIMUM_BUFFERED_BYTES && exchange.isResponseStarted()) {
+                rejectResponse("failure of a resumed stream is too large to be read");
+            } else if (bufferedBody.size() > MAXIMUM_BUFFERED_BYTES && head != null) {
                 handling = ResponseHandling.STREAM;
                 exchange.onStreamStarted(this, head);
                 exchange.onStreamContent(
--- a/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/exchange/Exchange.java
+++ b/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/exchange/Exchange.java
@@ -178,6 +178,16 @@
         return routed.route().repeatability().isStream();
     }
 
+    /**
+     * Returns {@code true} if a part of a response was forwarded, which an attempt can only
+     * continue.
+     *
+     * @return {@code true} if the head of an earlier attempt was forwarded.
+     */
+    boolean isResponseStarted() {
+        return relay.isStarted();
+    }
+
     /**
      * Reports the head of an endpoint's response.
      *
