Continue a stream only with a response that continues it

Cause: any successful response was taken for the continuation. Evidence: in the tests a response 204 ends the caller's stream with its last chunk, plain text is appended to it, and a run that starts anew repeats its first event.

The response to a resumed request must have the status and content type of the one whose head was forwarded, and its first event must have a larger identifier than the last event forwarded, where both are numbers. Else the attempt ends, and the stream is resumed elsewhere or visibly cut.

--- a/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/exchange/Attempt.java
+++ b/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/exchange/Attempt.java
@@ -231,6 +231,8 @@
                 && (!metadata.isSealed()
                         || response.headers().contains(HttpHeaderNames.CONTENT_ENCODING))) {
             rejectResponse("response is not sealed, or is content-encoded");
+        } else if (isSuccess && exchange.isStream() && !exchange.isAcceptableStream(response)) {
+            rejectResponse("response does not continue the stream");
         } else if (!isSuccess && impliesNotExecuted(response.status())) {
             handling = ResponseHandling.AMBIGUOUS;
         } else if (isSuccess && exchange.isStream()) {
@@ -257,7 +259,7 @@
      *
      * @param cause What is wrong with the response.
      */
-    private void rejectResponse(String cause) {
+    void rejectResponse(String cause) {
         if (connection != null) {
             connection.cancel();
         }
--- a/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/exchange/EventStreamSplitter.java
+++ b/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/exchange/EventStreamSplitter.java
@@ -4,6 +4,7 @@
 import java.io.ByteArrayOutputStream;
 import java.nio.charset.StandardCharsets;
 import java.util.Optional;
+import java.util.OptionalLong;
 
 /**
  * Splits a stream of server-sent events into complete events and keeps the identifier of the last
@@ -23,6 +24,12 @@
     /** Whether no event was complete yet. */
     private boolean isBeforeFirstEvent = true;
 
+    /** Whether the next event must follow the last one of an earlier run. */
+    private boolean isResuming;
+
+    /** Whether a run that should have resumed the stream repeats an event. */
+    private boolean isRepeating;
+
     /** The identifier of the last complete event that carried one. */
     private Optional<String> lastEventId = Optional.empty();
 
@@ -30,7 +37,8 @@
      * Adds bytes of the stream.
      *
      * @param content The bytes, which are consumed.
-     * @return The buffered bytes up to the end of the last complete event, possibly none.
+     * @return The buffered bytes up to the end of the last complete event, possibly none; none if
+     *     they repeat an event instead of resuming the stream.
      */
     byte[] append(ByteBuf content) {
         byte[] bytes = new byte[content.readableBytes()];
@@ -46,10 +54,66 @@
         partialEvent.write(buffered, end, buffered.length - end);
         byte[] completeEvents = new byte[end];
         System.arraycopy(buffered, 0, completeEvents, 0, end);
+        if (isResuming) {
+            isResuming = false;
+            isRepeating = isRepeated(completeEvents);
+            if (isRepeating) {
+                return new byte[0];
+            }
+        }
         updateLastEventId(completeEvents);
         return completeEvents;
     }
 
+    /** Discards a partial event; the next events come from a run that resumes the stream. */
+    void resume() {
+        partialEvent.reset();
+        isResuming = true;
+        isRepeating = false;
+    }
+
+    /**
+     * Returns {@code true} if a run that should have resumed the stream repeats an event.
+     *
+     * @return {@code true} if the bytes of this run do not continue the stream.
+     */
+    boolean isRepeating() {
+        return isRepeating;
+    }
+
+    /**
+     * Returns {@code true} if the first identifier of events does not follow the last one.
+     *
+     * @param events The complete events.
+     * @return {@code true} if both are numbers and the first is not larger.
+     */
+    private boolean isRepeated(byte[] events) {
+        OptionalLong first =
+                new String(events, StandardCharsets.ISO_8859_1)
+                        .lines()
+                        .filter(line -> line.startsWith(ID_FIELD))
+                        .map(line -> parseId(line.substring(ID_FIELD.length())))
+                        .findFirst()
+                        .orElse(OptionalLong.empty());
+        OptionalLong last =
+                lastEventId.map(EventStreamSplitter::parseId).orElseGet(OptionalLong::empty);
+        return first.isPresent() && last.isPresent() && first.getAsLong() <= last.getAsLong();
+    }
+
+    /**
+     * Parses an identifier.
+     *
+     * @param id The identifier.
+     * @return The number, or empty if the identifier is none.
+     */
+    private static OptionalLong parseId(String id) {
+        try {
+            return OptionalLong.of(Long.parseLong(id.strip()));
+        } catch (NumberFormatException exception) {
+            return OptionalLong.empty();
+        }
+    }
+
     /**
      * Returns the number of bytes that follow the last complete event.
      *
@@ -92,11 +156,6 @@
         return isBeforeFirstEvent;
     }
 
-    /** Discards the bytes that follow the last complete event. */
-    void dropPartialEvent() {
-        partialEvent.reset();
-    }
-
     /**
      * Returns the identifier of the last complete event that carried one.
      *
--- a/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/exchange/Exchange.java
+++ b/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/exchange/Exchange.java
@@ -226,9 +226,21 @@
     void onStreamContent(Attempt from, ByteBuf content) {
         if (relay.send(content)) {
             from.progressMonitor().recordProgress();
+        } else if (relay.isRepeating()) {
+            from.rejectResponse("response repeats events of the stream");
         }
     }
 
+    /**
+     * Returns {@code true} if a response can be forwarded, as far as its head tells.
+     *
+     * @param head The head of a successful response to a streaming request.
+     * @return {@code true} if it is the first one or can continue the one that was begun.
+     */
+    boolean isAcceptableStream(HttpResponse head) {
+        return !relay.isStarted() || relay.isContinuedBy(head);
+    }
+
     /**
      * Returns {@code true} if a response that ends now cannot be complete.
      *
@@ -321,7 +333,7 @@
         reporter.reportFailedAttempt(from.endpoint(), cause, attempts, next);
         switch (next) {
             case REPEAT, RESUME -> {
-                relay.dropPartialEvent();
+                relay.resume();
                 startAttempt();
             }
             case REFUSE ->
--- a/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/exchange/ResponseRelay.java
+++ b/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/exchange/ResponseRelay.java
@@ -14,6 +14,7 @@
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpVersion;
+import java.util.Locale;
 import java.util.Optional;
 
 /** Forwards a response to the caller; an event stream is forwarded in whole events. */
@@ -31,6 +32,12 @@
     /** Whether the head of a response was sent. */
     private boolean isStarted;
 
+    /** The status of the head that was sent, if the body follows in parts. */
+    private HttpResponseStatus startedStatus = HttpResponseStatus.OK;
+
+    /** The type of the body that follows in parts. */
+    private String startedType = "";
+
     /**
      * Creates a relay for one request.
      *
@@ -75,6 +82,8 @@
      */
     void start(HttpResponse head, boolean eventStream) {
         isStarted = true;
+        startedStatus = head.status();
+        startedType = contentType(head);
         isEventStream = eventStream;
         HttpResponse response = copyHead(head);
         response.headers().set(HttpHeaderNames.TRANSFER_ENCODING, HttpHeaderValues.CHUNKED);
@@ -130,9 +139,38 @@
         return splitter.partialEventBytes();
     }
 
-    /** Discards the part of an event that was not forwarded, before the stream is resumed. */
-    void dropPartialEvent() {
-        splitter.dropPartialEvent();
+    /** Discards the part of an event that was not forwarded; another run resumes the stream. */
+    void resume() {
+        splitter.resume();
+    }
+
+    /**
+     * Returns {@code true} if a response can continue the one whose head was forwarded.
+     *
+     * @param head The head of the response.
+     * @return {@code true} if its status and the type of its body are the same.
+     */
+    boolean isContinuedBy(HttpResponse head) {
+        return startedStatus.equals(head.status()) && startedType.equals(contentType(head));
+    }
+
+    /**
+     * Returns {@code true} if the run that should have resumed an event stream repeats an event.
+     *
+     * @return {@code true} if nothing more of this run may be forwarded.
+     */
+    boolean isRepeating() {
+        return splitter.isRepeating();
+    }
+
+    /**
+     * Returns the type of a response's body.
+     *
+     * @param head The head of the response.
+     * @return The type in lower case, empty if it is not stated.
+     */
+    private static String contentType(HttpResponse head) {
+        return head.headers().get(HttpHeaderNames.CONTENT_TYPE, "").toLowerCase(Locale.ROOT);
     }
 
     /** Closes the caller's connection, so that the response is recognisably incomplete. */
--- a/chicorytrestle-gateway/src/test/java/io/chicorytrestle/gateway/exchange/EventStreamSplitterTest.java
+++ b/chicorytrestle-gateway/src/test/java/io/chicorytrestle/gateway/exchange/EventStreamSplitterTest.java
@@ -50,7 +50,7 @@
         append("id: 1\ndata: a\n\ntail");
         assertThat(splitter.isInsideEvent(), equalTo(true));
 
-        splitter.dropPartialEvent();
+        splitter.resume();
         assertThat(splitter.isInsideEvent(), equalTo(false));
     }
 
