Send nothing more to an endpoint that states in a response that it leaves

The product did not know the header.

A response with Server-Leaving: 1, of any status, now marks the incarnation as leaving, like the store's entry does: it is out of the view at once, its idle connections are closed, requests that still wait for a connection go elsewhere, and other instances learn it from the next heartbeat. A 421 marks nobody: it comes from another endpoint at an address that is used again. An endpoint whose entry lapsed and that is only a last resort can be marked, too, which the directory ignored before.

--- a/chicorytrestle-core/src/main/java/io/chicorytrestle/core/placement/EndpointDirectory.java
+++ b/chicorytrestle-core/src/main/java/io/chicorytrestle/core/placement/EndpointDirectory.java
@@ -9,6 +9,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.stream.Stream;
 
 /**
  * Tracks the known endpoints. Once an incarnation is leaving, it stays so: a stale entry cannot
@@ -142,12 +143,18 @@
      *
      * @param incarnation The incarnation.
      * @param nowMillis The current time in milliseconds.
-     * @return The change, or empty if the incarnation was already leaving or has no entry.
+     * @return The change, or empty if the incarnation was already leaving or has no entry, not even
+     *     one that vanished lately.
      */
     public Optional<Change> markLeaving(String incarnation, long nowMillis) {
         if (!leavingIncarnations.add(incarnation)) {
             return Optional.empty();
         }
+        for (VanishedEndpoint entry : vanished.values()) {
+            if (entry.endpoint().incarnation().equals(incarnation)) {
+                return Optional.of(new Change(entry.endpoint().asLeaving(), ChangeKind.LEAVING));
+            }
+        }
         return listedEndpoints.values().stream()
                 .filter(endpoint -> endpoint.incarnation().equals(incarnation))
                 .findFirst()
@@ -156,14 +163,26 @@
     }
 
     /**
-     * Returns the listed incarnations that accept no more work.
+     * Returns {@code true} if an incarnation accepts no more work.
+     *
+     * @param incarnation The incarnation.
+     * @return {@code true} if it was marked as leaving, listed or not.
+     */
+    public boolean isLeaving(String incarnation) {
+        return leavingIncarnations.contains(incarnation);
+    }
+
+    /**
+     * Returns the incarnations that accept no more work and that another instance may still use.
      *
-     * @return The leaving incarnations.
+     * @return The leaving incarnations whose entries are listed or vanished lately.
      */
     public List<String> leavingIncarnations() {
-        return listedEndpoints.values().stream()
-                .filter(ServingEndpoint::isLeaving)
+        return Stream.concat(
+                        listedEndpoints.values().stream(),
+                        vanished.values().stream().map(VanishedEndpoint::endpoint))
                 .map(ServingEndpoint::incarnation)
+                .filter(leavingIncarnations::contains)
                 .toList();
     }
 
--- a/chicorytrestle-core/src/test/java/io/chicorytrestle/core/placement/EndpointDirectoryTest.java
+++ b/chicorytrestle-core/src/test/java/io/chicorytrestle/core/placement/EndpointDirectoryTest.java
@@ -77,6 +77,31 @@
         assertThat(directory.view(2).leaving(), contains(FIRST.asLeaving()));
     }
 
+    /** Guards against a leaving endpoint that is a last resort because its entry lapsed. */
+    @Test
+    void testMarkLeavingWhenEntryVanishedBefore() {
+        directory.replace(List.of(FIRST), 0);
+        directory.replace(List.of(), 1);
+
+        assertThat(directory.markLeaving(FIRST.incarnation(), 2).isPresent(), equalTo(true));
+        assertThat(directory.view(3).endpointsOf(Endpoints.SERVICE), empty());
+        assertThat(directory.leavingIncarnations(), contains(FIRST.incarnation()));
+    }
+
+    @Test
+    void testMarkLeavingWhenListingsAndANewIncarnationFollow() {
+        directory.replace(List.of(FIRST, SECOND), 0);
+        directory.markLeaving(FIRST.incarnation(), 1);
+        directory.replace(List.of(SECOND), 2);
+        directory.replace(List.of(FIRST, SECOND), 3);
+        assertThat(directory.view(4).endpointsOf(Endpoints.SERVICE), contains(SECOND));
+
+        ServingEndpoint next =
+                new ServingEndpoint("1", Endpoints.SERVICE, FIRST.address(), "a", 64, false, 99);
+        directory.replace(List.of(next, SECOND), 5);
+        assertThat(directory.view(6).endpointsOf(Endpoints.SERVICE), contains(next, SECOND));
+    }
+
     @Test
     void testViewWhenEndpointJoinsOthers() {
         directory.replace(List.of(FIRST), 0);
--- a/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/Gateway.java
+++ b/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/Gateway.java
@@ -13,6 +13,7 @@
 import io.chicorytrestle.core.route.RouteTopics;
 import io.chicorytrestle.gateway.dialect.HeaderDialect;
 import io.chicorytrestle.gateway.exchange.GatewayContext;
+import io.chicorytrestle.gateway.exchange.LeavingEndpoints;
 import io.chicorytrestle.gateway.exchange.RequestHandler;
 import io.chicorytrestle.gateway.fleet.FleetChannel;
 import io.chicorytrestle.gateway.fleet.FleetState;
@@ -173,6 +174,7 @@
                         blackboard,
                         (long) (settings.drainMillis() * VANISHED_ENDPOINT_SHARE),
                         context.endpointConnections()::closeIdle);
+        context.setLeavingEndpoints(new ReportedLeaving());
         Supplier<RequestLimits> limits = () -> context.table().limits();
         requestHandler = new RequestHandler(context);
         blackboard.addListener(RouteTopics.ROUTING_TABLE, table -> handleNewState());
@@ -438,4 +440,18 @@
                 || (elapsedMillis >= BALANCER_REMOVAL_MILLIS
                         && callerServer.busyConnections() == 0);
     }
+
+    /** Applies what endpoints state in their responses to the state of the fleet. */
+    private final class ReportedLeaving implements LeavingEndpoints {
+
+        @Override
+        public void markLeaving(String incarnation, long nowMillis) {
+            fleetState.markLeaving(incarnation, "endpoint", nowMillis);
+        }
+
+        @Override
+        public boolean isLeaving(String incarnation) {
+            return fleetState.isLeaving(incarnation);
+        }
+    }
 }
--- a/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/dialect/ResponseMetadata.java
+++ b/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/dialect/ResponseMetadata.java
@@ -11,6 +11,7 @@
  * @param isSealed Whether the response carries the endpoint's seal, which shows that the endpoint
  *     itself created it.
  * @param isNotExecuted Whether the endpoint states that it did not execute the request.
+ * @param isLeaving Whether the endpoint states that it finishes its work and accepts no more.
  * @param load The number of requests that run or wait at the endpoint, if reported.
  * @param keepAliveMillis The time in milliseconds after which the endpoint closes an idle
  *     connection, if stated.
@@ -19,6 +20,7 @@
         Optional<String> requestId,
         boolean isSealed,
         boolean isNotExecuted,
+        boolean isLeaving,
         OptionalInt load,
         OptionalLong keepAliveMillis) {
 
--- a/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/exchange/Attempt.java
+++ b/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/exchange/Attempt.java
@@ -163,9 +163,13 @@
             return;
         }
         if (!exchange.hasTimeToSend()) {
-            end();
             context.endpointConnections().giveBack(acquired);
-            exchange.onAttemptFailed(this, Verdict.NOT_RUN, "deadline passed while connecting");
+            endUnsent("deadline passed while connecting");
+            return;
+        }
+        if (context.leavingEndpoints().isLeaving(endpoint().incarnation())) {
+            acquired.cancel();
+            endUnsent("endpoint began to leave while connecting");
             return;
         }
         connection = acquired;
@@ -174,6 +178,16 @@
         acquired.send(request.get(), id, this);
     }
 
+    /**
+     * Ends the attempt before anything was sent.
+     *
+     * @param cause Why the request is not sent.
+     */
+    private void endUnsent(String cause) {
+        end();
+        exchange.onAttemptFailed(this, Verdict.NOT_RUN, cause);
+    }
+
     /** Cancels the attempt after a time-out and records a failure of the endpoint. */
     void cancelTimedOut() {
         if (!isEnded && isSent) {
@@ -215,6 +229,11 @@
                                                 endpoint().incarnation(),
                                                 load,
                                                 context.nowMillis()));
+        // An endpoint that was misdirected is another one at an address that is used again.
+        if (metadata.isLeaving()
+                && !response.status().equals(HttpResponseStatus.MISDIRECTED_REQUEST)) {
+            context.leavingEndpoints().markLeaving(endpoint().incarnation(), context.nowMillis());
+        }
         if (!exchange.isStream()) {
             progressMonitor.end();
         }
--- a/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/exchange/GatewayContext.java
+++ b/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/exchange/GatewayContext.java
@@ -84,6 +84,9 @@
     /** Limits the retries for each service. */
     private final RetryBudgets budgets;
 
+    /** Knows which endpoints are leaving. */
+    private LeavingEndpoints leavingEndpoints = LeavingEndpoints.NoOp.INSTANCE;
+
     /** The requests under way. */
     private final Set<Exchange> exchanges = new HashSet<>();
 
@@ -179,6 +182,24 @@
         return blackboard.read(PlacementTopics.SERVING);
     }
 
+    /**
+     * Sets what knows which endpoints are leaving.
+     *
+     * @param leavingEndpoints Receives what endpoints state of themselves.
+     */
+    public void setLeavingEndpoints(LeavingEndpoints leavingEndpoints) {
+        this.leavingEndpoints = leavingEndpoints;
+    }
+
+    /**
+     * Returns what knows which endpoints are leaving.
+     *
+     * @return The leaving endpoints.
+     */
+    LeavingEndpoints leavingEndpoints() {
+        return leavingEndpoints;
+    }
+
     /**
      * Returns {@code true} if requests can be routed and placed.
      *
--- a/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/fleet/FleetState.java
+++ b/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/fleet/FleetState.java
@@ -120,6 +120,16 @@
         publish(change.stream().toList(), peer, nowMillis);
     }
 
+    /**
+     * Returns {@code true} if an incarnation is known to accept no more requests.
+     *
+     * @param incarnation The incarnation of the endpoint.
+     * @return {@code true} if it is leaving.
+     */
+    public boolean isLeaving(String incarnation) {
+        return directory.isLeaving(incarnation);
+    }
+
     /**
      * Replaces all endpoints by those of a peer, if the peer knows a newer revision.
      *
