Send an endpoint nothing for as long as it asked for when it was full

The product did not read the header.

EndpointBackoffs, in core and without a network, keeps the end of that time by incarnation on the steady clock. Placement leaves such an endpoint out, also as a source of prompt parts, and a request that still waits for a connection to it goes elsewhere. If all endpoints of a service want nothing, the caller gets 503 at once with what is left of the shortest time, spread over up to a second. After the end one request is a trial, for half a second at most, so that those that waited do not arrive together.

A later, longer time extends an earlier one; a shorter one does not shorten it, since the endpoint stated both. Several values: the longest counts. No decimal number of seconds: ignored, with one log line in ten seconds. The longest time is one hour, so that no value is a ban without an end, and a new incarnation starts without any.

An endpoint without the header costs one look-up.

--- a/chicorytrestle-core/src/main/java/io/chicorytrestle/core/attempt/RefusalReason.java
+++ b/chicorytrestle-core/src/main/java/io/chicorytrestle/core/attempt/RefusalReason.java
@@ -23,6 +23,9 @@
     /** The endpoints rejected the request, since they are overloaded. */
     SHED(150),
 
+    /** All endpoints asked this instance to send them nothing for some time. */
+    BACKED_OFF(200),
+
     /** The deadline passed before the request was sent. */
     DEADLINE(0),
 
@@ -55,6 +58,15 @@
      */
     private static final double JITTER = 0.5;
 
+    /**
+     * The shortest time in milliseconds over which the retries of callers are spread that wait for
+     * an endpoint to be open again.
+     */
+    private static final long MINIMUM_SPREAD_MILLIS = 200;
+
+    /** The longest time in milliseconds over which such retries are spread. */
+    private static final long MAXIMUM_SPREAD_MILLIS = 1_000;
+
     /** The delay in milliseconds after which a retry is likely to succeed. */
     private final long retryDelayMillis;
 
@@ -80,6 +92,28 @@
                 Math.max(0, Math.min(delayWithJitter, remainingMillis * MAXIMUM_REMAINING_SHARE));
     }
 
+    /**
+     * Returns the delay after which a caller should retry when no endpoint is open before some
+     * time. That time is not shortened to what the caller has left, since an earlier retry would be
+     * refused again.
+     *
+     * @param closedMillis The time in milliseconds until the first endpoint is open; zero or less
+     *     if one is open.
+     * @param remainingMillis The time that the caller has left, in milliseconds.
+     * @param sample A random number from zero, inclusive, to one, exclusive, that adds jitter.
+     * @return The delay in milliseconds.
+     */
+    public long retryAfterMillis(long closedMillis, long remainingMillis, double sample) {
+        if (closedMillis <= 0) {
+            return retryAfterMillis(remainingMillis, sample);
+        }
+        double spreadMillis =
+                Math.min(
+                        MAXIMUM_SPREAD_MILLIS,
+                        Math.max(MINIMUM_SPREAD_MILLIS, closedMillis * JITTER));
+        return closedMillis + (long) (spreadMillis * sample);
+    }
+
     /**
      * Returns the name that is written to the log.
      *
--- a/chicorytrestle-core/src/main/java/io/chicorytrestle/core/placement/EndpointPicker.java
+++ b/chicorytrestle-core/src/main/java/io/chicorytrestle/core/placement/EndpointPicker.java
@@ -44,6 +44,9 @@
     /** Determines which zones are unreachable. */
     private final ZoneReachability zoneReachability;
 
+    /** Determines which endpoints asked for no requests. */
+    private final EndpointBackoffs backoffs;
+
     /** Determines the homes of prompts. */
     private final EndpointRanking ranking;
 
@@ -59,6 +62,7 @@
      * @param outcomeTracker Estimates the failure rate of each endpoint.
      * @param zoneReachability Determines which zones are unreachable.
      * @param promptPartTracker Records which endpoint holds which prompt part.
+     * @param backoffs Determines which endpoints asked for no requests.
      */
     public EndpointPicker(
             PlacementSettings settings,
@@ -66,7 +70,9 @@
             EndpointHealth health,
             OutcomeTracker outcomeTracker,
             ZoneReachability zoneReachability,
-            PromptPartTracker promptPartTracker) {
+            PromptPartTracker promptPartTracker,
+            EndpointBackoffs backoffs) {
+        this.backoffs = backoffs;
         this.settings = settings;
         this.loadTracker = loadTracker;
         this.health = health;
@@ -85,7 +91,7 @@
      * @param prompt The prompt, or empty for a plain request.
      * @param excluded The incarnations that must not be chosen, such as those already tried.
      * @param nowMillis The current time in milliseconds.
-     * @return The placement, or empty if all endpoints are excluded.
+     * @return The placement, or empty if all endpoints are excluded or asked for no requests.
      */
     public Optional<Placement> pick(
             ServingView view,
@@ -93,7 +99,7 @@
             Optional<Prompt> prompt,
             Set<String> excluded,
             long nowMillis) {
-        List<ServingEndpoint> ready = view.endpointsOf(service);
+        List<ServingEndpoint> ready = backoffs.openOf(view.endpointsOf(service), nowMillis);
         List<ServingEndpoint> allowed =
                 filter(ready, endpoint -> !excluded.contains(endpoint.incarnation()));
         if (allowed.isEmpty()) {
--- a/chicorytrestle-core/src/test/java/io/chicorytrestle/core/placement/EndpointPickerTest.java
+++ b/chicorytrestle-core/src/test/java/io/chicorytrestle/core/placement/EndpointPickerTest.java
@@ -31,6 +31,8 @@
 
     private final ZoneReachability zoneReachability = new ZoneReachability("a");
 
+    private final EndpointBackoffs backoffs = new EndpointBackoffs();
+
     private final EndpointPicker picker =
             new EndpointPicker(
                     new PlacementSettings("a", 1.6, 2),
@@ -38,7 +40,8 @@
                     health,
                     outcomeTracker,
                     zoneReachability,
-                    new PromptPartTracker());
+                    new PromptPartTracker(),
+                    backoffs);
 
     @Test
     void testPickWhenTwoInstancesSeeTheSamePrompt() {
@@ -49,7 +52,8 @@
                         new EndpointHealth(),
                         new OutcomeTracker(),
                         new ZoneReachability("c"),
-                        new PromptPartTracker());
+                        new PromptPartTracker(),
+                        new EndpointBackoffs());
 
         assertThat(
                 pick(VIEW, "chat").endpoint(),
@@ -64,6 +68,25 @@
                                 .endpoint()));
     }
 
+    @Test
+    void testPickWhenEndpointsAskedForNoRequests() {
+        ServingEndpoint home = pick(VIEW, "chat").endpoint();
+        backoffs.record(home.incarnation(), 1_000, 0);
+        assertThat(pick(VIEW, "chat").endpoint().equals(home), is(false));
+
+        VIEW.endpointsOf(Endpoints.SERVICE)
+                .forEach(endpoint -> backoffs.record(endpoint.incarnation(), 1_000, 0));
+        assertThat(
+                picker.pick(
+                                VIEW,
+                                Endpoints.SERVICE,
+                                Optional.of(Endpoints.prompt("chat")),
+                                Set.of(),
+                                0)
+                        .isPresent(),
+                is(false));
+    }
+
     @Test
     void testPickWhenHomeIsAtItsLoadBound() {
         ServingEndpoint home = pick(VIEW, "chat").endpoint();
--- a/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/dialect/ResponseMetadata.java
+++ b/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/dialect/ResponseMetadata.java
@@ -12,6 +12,8 @@
  *     itself created it.
  * @param isNotExecuted Whether the endpoint states that it did not execute the request.
  * @param isLeaving Whether the endpoint states that it finishes its work and accepts no more.
+ * @param retryAfterMillis The time in milliseconds for which the endpoint wants no requests, if
+ *     stated.
  * @param load The number of requests that run or wait at the endpoint, if reported.
  * @param keepAliveMillis The time in milliseconds after which the endpoint closes an idle
  *     connection, if stated.
@@ -21,6 +23,7 @@
         boolean isSealed,
         boolean isNotExecuted,
         boolean isLeaving,
+        OptionalLong retryAfterMillis,
         OptionalInt load,
         OptionalLong keepAliveMillis) {
 
--- a/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/exchange/Attempt.java
+++ b/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/exchange/Attempt.java
@@ -172,6 +172,11 @@
             endUnsent("endpoint began to leave while connecting");
             return;
         }
+        if (context.backoffs().isActive(endpoint().incarnation(), context.nowMillis())) {
+            context.endpointConnections().giveBack(acquired);
+            endUnsent("endpoint asked for no requests while connecting");
+            return;
+        }
         connection = acquired;
         isSent = true;
         exchange.onSent(this);
@@ -211,6 +216,7 @@
         isEnded = true;
         progressMonitor.end();
         context.loads().recordEnd(endpoint().incarnation());
+        context.backoffs().recordEnd(endpoint().incarnation(), context.nowMillis());
     }
 
     @Override
@@ -234,6 +240,7 @@
                 && !response.status().equals(HttpResponseStatus.MISDIRECTED_REQUEST)) {
             context.leavingEndpoints().markLeaving(endpoint().incarnation(), context.nowMillis());
         }
+        recordBackoff(response, metadata);
         if (!exchange.isStream()) {
             progressMonitor.end();
         }
@@ -260,6 +267,25 @@
         }
     }
 
+    /**
+     * Records for how long the endpoint wants no requests, or that it accepts them.
+     *
+     * @param response The head of the response.
+     * @param metadata What its headers state.
+     */
+    private void recordBackoff(HttpResponse response, ResponseMetadata metadata) {
+        long nowMillis = context.nowMillis();
+        if (response.status().equals(HttpResponseStatus.SERVICE_UNAVAILABLE)
+                && metadata.retryAfterMillis().isPresent()) {
+            long backoffMillis = metadata.retryAfterMillis().getAsLong();
+            if (context.backoffs().record(endpoint().incarnation(), backoffMillis, nowMillis)) {
+                exchange.onBackoff(this, backoffMillis);
+            }
+        } else {
+            context.backoffs().recordEnd(endpoint().incarnation(), nowMillis);
+        }
+    }
+
     /**
      * Returns {@code true} if callers interpret a status as a promise that the request never runs.
      *
--- a/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/exchange/Exchange.java
+++ b/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/exchange/Exchange.java
@@ -104,7 +104,7 @@
      */
     private void startAttempt() {
         if (!hasTimeToSend() && attempts.sends() == 0) {
-            end().refuse(RefusalReason.DEADLINE, remainingMillis());
+            end().refuse(RefusalReason.DEADLINE, 0, remainingMillis());
             return;
         }
         Optional<Placement> chosen =
@@ -119,11 +119,10 @@
             if (relay.isStarted()) {
                 end().abort("no other endpoint is left");
             } else if (attempts.verdict() == Verdict.NOT_RUN) {
-                end().refuse(
-                                triedIncarnations.isEmpty()
-                                        ? RefusalReason.NO_ENDPOINT
-                                        : RefusalReason.UNREACHABLE,
-                                remainingMillis());
+                refuse(
+                        triedIncarnations.isEmpty()
+                                ? RefusalReason.NO_ENDPOINT
+                                : RefusalReason.UNREACHABLE);
             } else {
                 end().fail("no other endpoint is left");
             }
@@ -131,6 +130,7 @@
         }
         Placement placement = chosen.get();
         triedIncarnations.add(placement.endpoint().incarnation());
+        context.backoffs().recordPlacement(placement.endpoint().incarnation(), context.nowMillis());
         reporter.reportPlacement(placement, remainingMillis());
         Attempt newAttempt = new Attempt(context, this, placement, routed.route());
         attempt = newAttempt;
@@ -336,15 +336,41 @@
                 relay.resume();
                 startAttempt();
             }
-            case REFUSE ->
-                    end().refuse(
-                                    from.isSent() ? RefusalReason.SHED : RefusalReason.UNREACHABLE,
-                                    remainingMillis());
+            case REFUSE -> refuse(from.isSent() ? RefusalReason.SHED : RefusalReason.UNREACHABLE);
             case FAIL -> end().fail(cause);
             case CUT -> end().abort(cause);
         }
     }
 
+    /**
+     * Refuses a request that has not run. If all endpoints of its service want no requests, that is
+     * the reason, and the caller is told when the first one is open again.
+     *
+     * @param reason Why the request is refused otherwise.
+     */
+    private void refuse(RefusalReason reason) {
+        long closedMillis =
+                context.backoffs()
+                        .millisUntilOpen(
+                                context.endpoints().endpointsOf(routed.service()),
+                                context.nowMillis())
+                        .orElse(0);
+        end().refuse(
+                        closedMillis > 0 ? RefusalReason.BACKED_OFF : reason,
+                        closedMillis,
+                        remainingMillis());
+    }
+
+    /**
+     * Reports that the endpoint of an attempt wants no requests for some time.
+     *
+     * @param from The attempt.
+     * @param backoffMillis That time in milliseconds.
+     */
+    void onBackoff(Attempt from, long backoffMillis) {
+        reporter.reportBackoff(from.endpoint(), backoffMillis);
+    }
+
     /** Ends the request at its deadline. */
     private void onDeadline() {
         if (isEnded) {
@@ -360,7 +386,7 @@
         if (relay.isStarted()) {
             end().abort("deadline passed");
         } else if (attempts.verdict() == Verdict.NOT_RUN) {
-            end().refuse(RefusalReason.DEADLINE, remainingMillis());
+            end().refuse(RefusalReason.DEADLINE, 0, remainingMillis());
         } else {
             end().timeOut();
         }
--- a/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/exchange/GatewayContext.java
+++ b/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/exchange/GatewayContext.java
@@ -6,6 +6,7 @@
 import io.chicorytrestle.core.blackboard.Blackboard;
 import io.chicorytrestle.core.limit.RetryAllowance;
 import io.chicorytrestle.core.limit.RetryBudgets;
+import io.chicorytrestle.core.placement.EndpointBackoffs;
 import io.chicorytrestle.core.placement.EndpointHealth;
 import io.chicorytrestle.core.placement.EndpointPicker;
 import io.chicorytrestle.core.placement.LoadTracker;
@@ -72,6 +73,9 @@
     /** Records which endpoints have cached which prompt parts. */
     private final PromptPartTracker promptHolders = new PromptPartTracker();
 
+    /** Keeps the times for which endpoints want no requests. */
+    private final EndpointBackoffs backoffs = new EndpointBackoffs();
+
     /** Chooses endpoints. */
     private final EndpointPicker picker;
 
@@ -133,7 +137,8 @@
                         connectionHealth,
                         outcomes,
                         zoneReachability,
-                        promptHolders);
+                        promptHolders,
+                        backoffs);
     }
 
     /**
@@ -263,6 +268,7 @@
     public void step(long nowMillis) {
         loads.removeExpired(nowMillis);
         connectionHealth.removeExpired(nowMillis);
+        backoffs.removeExpired(nowMillis);
         outcomes.removeNegligible(nowMillis);
         crashes.removeExpired(nowMillis);
         partCrashes.removeExpired(nowMillis);
@@ -326,6 +332,15 @@
         return connectionHealth;
     }
 
+    /**
+     * Returns the times for which endpoints want no requests.
+     *
+     * @return The back-offs by endpoint.
+     */
+    EndpointBackoffs backoffs() {
+        return backoffs;
+    }
+
     /**
      * Returns the evaluation of endpoints by the statuses of their responses.
      *
--- a/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/exchange/Refusals.java
+++ b/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/exchange/Refusals.java
@@ -16,6 +16,8 @@
      * @param context Counts the refusal.
      * @param relay Sends the response.
      * @param reason Why the request is refused.
+     * @param closedMillis The time in milliseconds until the first endpoint is open, zero if that
+     *     is not the reason.
      * @param remainingMillis The time until the caller's deadline in milliseconds.
      * @return The delay in milliseconds after which the caller is asked to retry, chosen at random.
      */
@@ -23,9 +25,11 @@
             GatewayContext context,
             ResponseRelay relay,
             RefusalReason reason,
+            long closedMillis,
             long remainingMillis) {
         long retryAfterMillis =
-                reason.retryAfterMillis(remainingMillis, ThreadLocalRandom.current().nextDouble());
+                reason.retryAfterMillis(
+                        closedMillis, remainingMillis, ThreadLocalRandom.current().nextDouble());
         context.metrics().counter("refusals_total", reason.logName()).inc();
         relay.sendGatewayResponse(
                 HttpResponseStatus.SERVICE_UNAVAILABLE, reason.logName(), retryAfterMillis);
--- a/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/exchange/RequestCompletion.java
+++ b/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/exchange/RequestCompletion.java
@@ -62,12 +62,14 @@
      * Sends status 503, which states that the request has not run and never will.
      *
      * @param reason Why the request is refused.
+     * @param closedMillis The time in milliseconds until the first endpoint is open, zero if that
+     *     is not the reason.
      * @param remainingMillis The time until the caller's deadline in milliseconds.
      */
-    void refuse(RefusalReason reason, long remainingMillis) {
+    void refuse(RefusalReason reason, long closedMillis, long remainingMillis) {
         reporter.reportEnd(
                 HttpResponseStatus.SERVICE_UNAVAILABLE, "refused: " + reason.logName(), attempts);
-        Refusals.send(context, relay, reason, remainingMillis);
+        Refusals.send(context, relay, reason, closedMillis, remainingMillis);
     }
 
     /**
--- a/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/exchange/RequestHandler.java
+++ b/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/exchange/RequestHandler.java
@@ -130,7 +130,7 @@
             RefusalReason reason,
             long remainingMillis) {
         long retryAfterMillis =
-                Refusals.send(context, new ResponseRelay(caller), reason, remainingMillis);
+                Refusals.send(context, new ResponseRelay(caller), reason, 0, remainingMillis);
         LOGGER.atInfo()
                 .with(LogFields.REQUEST, request.id())
                 .with(LogFields.REASON, reason.logName())
--- a/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/exchange/RequestReporter.java
+++ b/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/exchange/RequestReporter.java
@@ -85,6 +85,22 @@
         context.metrics().counter("endpoint_responses_total", framing).inc();
     }
 
+    /**
+     * Reports that an endpoint wants no requests for longer than before.
+     *
+     * @param endpoint The endpoint.
+     * @param backoffMillis The time in milliseconds that it asked for.
+     */
+    void reportBackoff(ServingEndpoint endpoint, long backoffMillis) {
+        LOGGER.atInfo()
+                .with(LogFields.REQUEST, routed.request().id())
+                .with(LogFields.SERVICE, routed.service())
+                .with(LogFields.ENDPOINT, endpoint.incarnation())
+                .with(LogFields.RETRY_AFTER_MILLIS, backoffMillis)
+                .log("endpoint_backed_off");
+        context.metrics().counter("endpoint_backoffs_total").inc();
+    }
+
     /**
      * Reports that an attempt failed, and the next step.
      *
