--- a/chicorytrestle-core/src/test/java/io/chicorytrestle/core/attempt/RefusalReasonTest.java
+++ b/chicorytrestle-core/src/test/java/io/chicorytrestle/core/attempt/RefusalReasonTest.java
@@ -30,4 +30,14 @@
     void testRetryAfterMillisWhenTheTimeIsOver() {
         assertThat(RefusalReason.SHED.retryAfterMillis(-5, 0.5), equalTo(0L));
     }
+
+    /** Guards against callers that all return at the moment at which an endpoint opens. */
+    @Test
+    void testRetryAfterMillisWhenNoEndpointIsOpen() {
+        assertThat(RefusalReason.BACKED_OFF.retryAfterMillis(3_000, 1_000, 0), equalTo(3_000L));
+        assertThat(
+                RefusalReason.BACKED_OFF.retryAfterMillis(3_000, 1_000, 0.99),
+                allOf(greaterThan(3_900L), lessThanOrEqualTo(4_000L)));
+        assertThat(RefusalReason.BACKED_OFF.retryAfterMillis(10, 1_000, 0.99), greaterThan(200L));
+    }
 }
