Break a connection whose handling of input ends unexpectedly

Cause: an error that left the callback of a read left out the next read. Evidence: without the fix HttpConnectionTest waits in vain for the end of the connection, with an exception and with an error, thrown by a listener and by a codec handler (2 of 2 tests fail).

HttpConnection now closes such a connection at once and tells its listener that it broke: an endpoint's request ends as one that may have run, a call to the store is repeated, a caller sees its connection close. The error goes on to the event loop, which logs and counts it once.

--- a/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/link/HttpConnection.java
+++ b/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/link/HttpConnection.java
@@ -94,10 +94,30 @@
                 .whenComplete(
                         (buffer, failure) -> {
                             isReading = false;
-                            handleRead(buffer, failure);
+                            failOnUnexpectedError(() -> handleRead(buffer, failure));
                         });
     }
 
+    /**
+     * Runs a part of the handling of input. If an error leaves it that nothing expects, the
+     * connection breaks at once, since nothing more would be read from it, and the error goes on to
+     * the event loop, which reports it.
+     *
+     * @param action The part.
+     */
+    private void failOnUnexpectedError(Runnable action) {
+        boolean isHandled = false;
+        try {
+            action.run();
+            isHandled = true;
+        } finally {
+            if (!isHandled && !isClosed) {
+                close();
+                listener.onFailure(new IOException("Unexpected error while handling input"));
+            }
+        }
+    }
+
     /**
      * Handles the outcome of a read.
      *
@@ -159,7 +179,7 @@
     /** Resumes delivery, beginning with the messages received in the meantime. */
     public void resumeDelivery() {
         isDeliverySuspended = false;
-        deliverMessages();
+        failOnUnexpectedError(this::deliverMessages);
         startReading();
     }
 
