--- a/chicorytrestle-core/src/main/java/io/chicorytrestle/core/placement/EndpointBackoffs.java
+++ b/chicorytrestle-core/src/main/java/io/chicorytrestle/core/placement/EndpointBackoffs.java
@@ -132,8 +132,7 @@
     }
 
     /**
-     * Forgets the back-offs that are over for long. One that is not ends at the latest when no
-     * request is placed on its incarnation any more.
+     * Forgets the back-offs that are over for long, such as those of incarnations that have ended.
      *
      * @param nowMillis The current time in milliseconds.
      */
--- a/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/exchange/Attempt.java
+++ b/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/exchange/Attempt.java
@@ -235,7 +235,7 @@
                                                 endpoint().incarnation(),
                                                 load,
                                                 context.nowMillis()));
-        // An endpoint that was misdirected is another one at an address that is used again.
+        // A misdirected request has reached another endpoint at an address that is used again.
         if (metadata.isLeaving()
                 && !response.status().equals(HttpResponseStatus.MISDIRECTED_REQUEST)) {
             context.leavingEndpoints().markLeaving(endpoint().incarnation(), context.nowMillis());
