Let one primary reader serve all zones of a fleet whose heartbeats reach all

Where heartbeats go to all instances, the first reader of all zones is now the only primary, as long as others hear from it within two seconds; an instance that does not is primary in its zone as before. A larger fleet keeps a primary in each zone, since a reader there rarely hears from those of other zones.

--- a/chicorytrestle-core/src/main/java/io/chicorytrestle/core/fleet/ReaderSelection.java
+++ b/chicorytrestle-core/src/main/java/io/chicorytrestle/core/fleet/ReaderSelection.java
@@ -2,6 +2,7 @@
 
 import io.chicorytrestle.core.routing.RendezvousOrder;
 import java.util.ArrayList;
+import java.util.Collection;
 import java.util.List;
 import java.util.Map;
 
@@ -67,4 +68,17 @@
         }
         return rank == 0 ? ReaderRole.PRIMARY : ReaderRole.STANDBY;
     }
+
+    /**
+     * Decides whether an instance comes first among the readers of all zones.
+     *
+     * @param self The name of the instance.
+     * @param readers The names of the other instances that read the store.
+     * @return {@code true} if none of them precedes it.
+     */
+    public static boolean isFirstReader(String self, Collection<String> readers) {
+        List<String> names = new ArrayList<>(readers);
+        names.add(self);
+        return RendezvousOrder.order(ORDER_KEY, names).get(0).equals(self);
+    }
 }
--- a/chicorytrestle-core/src/test/java/io/chicorytrestle/core/fleet/ReaderSelectionTest.java
+++ b/chicorytrestle-core/src/test/java/io/chicorytrestle/core/fleet/ReaderSelectionTest.java
@@ -6,6 +6,7 @@
 import static org.hamcrest.Matchers.is;
 
 import io.chicorytrestle.core.routing.RendezvousOrder;
+import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -73,6 +74,28 @@
                 roleOf(contacts.keySet().iterator().next(), contacts), equalTo(ReaderRole.PRIMARY));
     }
 
+    @Test
+    void testIsFirstReaderWhenReadersAreLostOneAfterTheOther() {
+        List<String> readers = new ArrayList<>(NAMES);
+        while (!readers.isEmpty()) {
+            List<String> first = readers.stream().filter(name -> isFirst(name, readers)).toList();
+            assertThat(
+                    readers.stream()
+                            .filter(
+                                    name ->
+                                            ReaderSelection.isFirstReader(
+                                                    name, others(name, readers)))
+                            .toList(),
+                    equalTo(first));
+            assertThat(first, hasSize(1));
+            readers.removeAll(first);
+        }
+    }
+
+    private static List<String> others(String name, List<String> names) {
+        return names.stream().filter(other -> !other.equals(name)).toList();
+    }
+
     @Test
     void testRoleOfWhenThePrimaryLostTheStore() {
         Map<String, StoreContact> contacts = new HashMap<>();
--- a/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/fleet/FleetChannel.java
+++ b/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/fleet/FleetChannel.java
@@ -156,7 +156,8 @@
     }
 
     /**
-     * Decides which part this instance has in reading the store for its zone.
+     * Decides which part this instance has in reading the store for its zone. In a fleet whose
+     * heartbeats go to all, one primary reader serves all zones that hear from it.
      *
      * @param ownContact How it receives endpoint changes now; sent in heartbeats from now on.
      * @return The role.
@@ -167,6 +168,14 @@
         role =
                 ReaderSelection.roleOf(
                         self.name(), ownContact, members.zoneStoreContacts(nowMillis));
+        boolean reliesOnOtherZone =
+                role == ReaderRole.PRIMARY
+                        && ownContact == StoreContact.READING
+                        && members.isBroadcasting()
+                        && !ReaderSelection.isFirstReader(self.name(), members.readers(nowMillis));
+        if (reliesOnOtherZone) {
+            role = ReaderRole.STANDBY;
+        }
         return role;
     }
 
@@ -198,7 +207,7 @@
     public void relayTable() {
         if (!isZoneLarge()) {
             if (role == ReaderRole.PRIMARY) {
-                announceTable();
+                announceState();
             }
         } else {
             long nowMillis = reactor.currentTimeMillis();
@@ -212,14 +221,22 @@
         }
     }
 
-    /** Sends a heartbeat to the zone at once, which states the version of the routing table. */
-    private void announceTable() {
+    /**
+     * Sends a heartbeat at once, which states the version of the routing table and the revision of
+     * the endpoints.
+     */
+    private void announceState() {
         long nowMillis = reactor.currentTimeMillis();
-        sendHeartbeat(members.reachableZoneAddresses(nowMillis), nowMillis);
+        sendHeartbeat(
+                members.isBroadcasting()
+                        ? members.reachableAddresses(nowMillis)
+                        : members.reachableZoneAddresses(nowMillis),
+                nowMillis);
     }
 
     /**
-     * Sends changes of the store's list of endpoints to all reachable instances of the zone.
+     * Sends changes of the store's list of endpoints to all reachable instances of the zone. The
+     * primary reader announces them to other zones, too, whose connections may have gone silent.
      *
      * @param changes The changes that this instance read.
      */
@@ -229,6 +246,9 @@
         for (String address : members.reachableZoneAddresses(nowMillis)) {
             send(address, message, nowMillis);
         }
+        if (role == ReaderRole.PRIMARY && members.isBroadcasting()) {
+            announceState();
+        }
     }
 
     /**
--- a/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/fleet/FleetMembership.java
+++ b/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/fleet/FleetMembership.java
@@ -65,6 +65,12 @@
      */
     static final long STORE_READER_TIMEOUT_MILLIS = 1_300;
 
+    /**
+     * The time in milliseconds without a heartbeat after which a reader of another zone is no
+     * longer relied on: the longest interval between heartbeats to it, and a lost one.
+     */
+    private static final long FLEET_READER_TIMEOUT_MILLIS = 2_000;
+
     /**
      * The time in milliseconds without a heartbeat after which an instance is removed, counted from
      * its first mention by a peer if it never sent one.
@@ -271,6 +277,45 @@
         return contacts;
     }
 
+    /**
+     * Returns {@code true} if every heartbeat of every instance goes to all others.
+     *
+     * @return {@code true} unless the fleet is too large for that.
+     */
+    boolean isBroadcasting() {
+        return members.size() <= FULL_BROADCAST_INSTANCES;
+    }
+
+    /**
+     * Returns the other instances of any zone that read the store.
+     *
+     * @param nowMillis The current time in milliseconds.
+     * @return The names of those with a recent heartbeat.
+     */
+    List<String> readers(long nowMillis) {
+        return members.values().stream()
+                .filter(member -> member.storeContact() == StoreContact.READING)
+                .filter(
+                        member ->
+                                nowMillis - member.lastHeartbeatMillis()
+                                        <= FLEET_READER_TIMEOUT_MILLIS)
+                .map(member -> member.peer().name())
+                .toList();
+    }
+
+    /**
+     * Returns the addresses of the reachable other instances.
+     *
+     * @param nowMillis The current time in milliseconds.
+     * @return The addresses in no particular order.
+     */
+    List<String> reachableAddresses(long nowMillis) {
+        return members.values().stream()
+                .filter(member -> isReachable(member, nowMillis))
+                .map(member -> member.peer().address())
+                .toList();
+    }
+
     /**
      * Returns the addresses of the reachable other instances of the zone.
      *
