--- a/chicorytrestle-core/src/main/java/io/chicorytrestle/core/fleet/ReaderSelection.java
+++ b/chicorytrestle-core/src/main/java/io/chicorytrestle/core/fleet/ReaderSelection.java
@@ -26,29 +26,38 @@
     private ReaderSelection() {}
 
     /**
-     * Decides whether an instance reads the store.
+     * Decides which part an instance has in reading the store.
      *
      * @param self The name of the instance.
      * @param ownContact How the instance receives the list of endpoints now.
      * @param peers The contact of every other instance of the zone that sent a heartbeat lately, by
      *     name.
-     * @return {@code true} if the instance reads the store itself.
+     * @param fleetReaders The names of the readers of all zones that this instance hears from as
+     *     often as it needs to rely on one of them as the primary; possibly none.
+     * @return The role; an instance that knows of no working reader is primary.
      */
-    public static boolean isReader(
-            String self, StoreContact ownContact, Map<String, StoreContact> peers) {
-        return roleOf(self, ownContact, peers).isReading();
+    public static ReaderRole roleOf(
+            String self,
+            StoreContact ownContact,
+            Map<String, StoreContact> peers,
+            Collection<String> fleetReaders) {
+        ReaderRole zoneRole = zoneRoleOf(self, ownContact, peers);
+        boolean reliesOnOtherZone =
+                zoneRole == ReaderRole.PRIMARY
+                        && ownContact == StoreContact.READING
+                        && !isFirstReader(self, fleetReaders);
+        return reliesOnOtherZone ? ReaderRole.STANDBY : zoneRole;
     }
 
     /**
-     * Decides which part an instance has in reading the store.
+     * Decides which part an instance has by what is known of its own zone.
      *
      * @param self The name of the instance.
      * @param ownContact How the instance receives the list of endpoints now.
-     * @param peers The contact of every other instance of the zone that sent a heartbeat lately, by
-     *     name.
-     * @return The role; an instance that knows of no working reader is primary.
+     * @param peers The contact of every other instance of the zone.
+     * @return The role.
      */
-    public static ReaderRole roleOf(
+    private static ReaderRole zoneRoleOf(
             String self, StoreContact ownContact, Map<String, StoreContact> peers) {
         boolean hasReader = peers.containsValue(StoreContact.READING);
         if (ownContact == StoreContact.LOST || !hasReader) {
@@ -76,7 +85,7 @@
      * @param readers The names of the other instances that read the store.
      * @return {@code true} if none of them precedes it.
      */
-    public static boolean isFirstReader(String self, Collection<String> readers) {
+    static boolean isFirstReader(String self, Collection<String> readers) {
         List<String> names = new ArrayList<>(readers);
         names.add(self);
         return RendezvousOrder.order(ORDER_KEY, names).get(0).equals(self);
--- a/chicorytrestle-core/src/test/java/io/chicorytrestle/core/fleet/ReaderSelectionTest.java
+++ b/chicorytrestle-core/src/test/java/io/chicorytrestle/core/fleet/ReaderSelectionTest.java
@@ -26,14 +26,21 @@
     @Test
     void testIsReaderWhenNoReaderIsKnown() {
         assertThat(
-                ReaderSelection.isReader(
-                        "a", StoreContact.FOLLOWING, Map.of("b", StoreContact.FOLLOWING)),
+                ReaderSelection.roleOf(
+                                "a",
+                                StoreContact.FOLLOWING,
+                                Map.of("b", StoreContact.FOLLOWING),
+                                List.of())
+                        .isReading(),
                 is(true));
     }
 
     @Test
     void testIsReaderWhenAloneInTheZone() {
-        assertThat(ReaderSelection.isReader("a", StoreContact.FOLLOWING, Map.of()), is(true));
+        assertThat(
+                ReaderSelection.roleOf("a", StoreContact.FOLLOWING, Map.of(), List.of())
+                        .isReading(),
+                is(true));
     }
 
     @Test
@@ -92,6 +99,22 @@
         }
     }
 
+    @Test
+    void testRoleOfWhenAReaderOfAnotherZonePrecedes() {
+        String first = NAMES.stream().filter(name -> isFirst(name, NAMES)).findFirst().get();
+        for (String name : others(first, NAMES)) {
+            assertThat(roleAlone(name, StoreContact.READING, first), is(ReaderRole.STANDBY));
+            assertThat(roleAlone(name, StoreContact.LOST, first), is(ReaderRole.PRIMARY));
+            assertThat(roleAlone(name, StoreContact.FOLLOWING, first), is(ReaderRole.PRIMARY));
+            assertThat(roleAlone(first, StoreContact.READING, name), is(ReaderRole.PRIMARY));
+        }
+    }
+
+    /** Returns the role of the only instance of a zone that hears from a reader of another one. */
+    private static ReaderRole roleAlone(String name, StoreContact contact, String other) {
+        return ReaderSelection.roleOf(name, contact, Map.of(), List.of(other));
+    }
+
     private static List<String> others(String name, List<String> names) {
         return names.stream().filter(other -> !other.equals(name)).toList();
     }
@@ -130,6 +153,6 @@
         Map<String, StoreContact> peers = new HashMap<>(contacts);
         StoreContact own = contacts.getOrDefault(name, StoreContact.FOLLOWING);
         peers.remove(name);
-        return ReaderSelection.roleOf(name, own, peers);
+        return ReaderSelection.roleOf(name, own, peers, List.of());
     }
 }
--- a/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/fleet/FleetChannel.java
+++ b/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/fleet/FleetChannel.java
@@ -167,15 +167,10 @@
         long nowMillis = reactor.currentTimeMillis();
         role =
                 ReaderSelection.roleOf(
-                        self.name(), ownContact, members.zoneStoreContacts(nowMillis));
-        boolean reliesOnOtherZone =
-                role == ReaderRole.PRIMARY
-                        && ownContact == StoreContact.READING
-                        && members.isBroadcasting()
-                        && !ReaderSelection.isFirstReader(self.name(), members.readers(nowMillis));
-        if (reliesOnOtherZone) {
-            role = ReaderRole.STANDBY;
-        }
+                        self.name(),
+                        ownContact,
+                        members.zoneStoreContacts(nowMillis),
+                        members.isBroadcasting() ? members.readers(nowMillis) : List.of());
         return role;
     }
 
@@ -205,11 +200,7 @@
      * unless their connections have gone silent.
      */
     public void relayTable() {
-        if (!isZoneLarge()) {
-            if (role == ReaderRole.PRIMARY) {
-                announceState();
-            }
-        } else {
+        if (isZoneLarge()) {
             long nowMillis = reactor.currentTimeMillis();
             byte[] message =
                     FleetCodec.encode(
@@ -218,6 +209,8 @@
             for (String address : members.relayAddresses(nowMillis)) {
                 send(address, message, nowMillis);
             }
+        } else if (role == ReaderRole.PRIMARY) {
+            announceState();
         }
     }
 
