Report what endpoints send beyond the responses that requests wait for

unsolicited_data names the endpoint, the latest request of the connection and which of the three it was; endpoint_unsolicited_data_total counts them. What follows on such a connection is unchanged. testMetricsWhenEndpointRespondsTwice passes, and so does EndpointConnectionPoolTest, whose pool takes the metrics instead of one counter (same assertions).

--- a/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/endpoint/EndpointConnection.java
+++ b/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/endpoint/EndpointConnection.java
@@ -157,6 +157,7 @@
         }
         ResponseListener responseListener = listener;
         if (responseListener == null) {
+            pool.reportUnsolicited(UnsolicitedData.WHILE_IDLE, this, requestId);
             failInvalidResponse("response without a pending request");
             return;
         }
@@ -195,6 +196,7 @@
         metadata.keepAliveMillis().ifPresent(millis -> keepAliveMillis = millis);
         if (isForeign) {
             phase = Phase.SKIPPED;
+            pool.reportUnsolicited(UnsolicitedData.FOREIGN_RESPONSE, this, requestId);
         } else {
             phase = Phase.BODY;
             responseListener.onHead(head, decoder.framing(head), metadata);
@@ -215,7 +217,11 @@
             return;
         }
         listener = null;
-        isReusable &= connection.isDrained() && !connection.hasUndelivered();
+        if (connection.hasUndelivered()) {
+            isReusable = false;
+            pool.reportUnsolicited(UnsolicitedData.AFTER_RESPONSE, this, requestId);
+        }
+        isReusable &= connection.isDrained();
         if (isReusable) {
             markIdle();
             pool.release(this);
--- a/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/endpoint/EndpointConnectionPool.java
+++ b/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/endpoint/EndpointConnectionPool.java
@@ -1,6 +1,5 @@
 package io.chicorytrestle.gateway.endpoint;
 
-import com.codahale.metrics.Counter;
 import io.activej.net.socket.tcp.ITcpSocket;
 import io.activej.net.socket.tcp.TcpSocket;
 import io.activej.promise.Promise;
@@ -12,6 +11,7 @@
 import io.chicorytrestle.gateway.dialect.HeaderDialect;
 import io.chicorytrestle.gateway.link.Addresses;
 import io.chicorytrestle.gateway.link.EventLoopLag;
+import io.chicorytrestle.gateway.operations.GatewayMetrics;
 import java.io.IOException;
 import java.time.Duration;
 import java.util.ArrayDeque;
@@ -47,8 +47,8 @@
     /** Reads the heads of responses. */
     private final HeaderDialect dialect;
 
-    /** Counts the connections that were opened. */
-    private final Counter openedConnections;
+    /** The metrics of connections. */
+    private final GatewayMetrics metrics;
 
     /** The idle connections by incarnation of the endpoint, the most recently used first. */
     private final Map<String, Deque<EndpointConnection>> idleConnections = new HashMap<>();
@@ -58,13 +58,13 @@
      *
      * @param reactor The event loop.
      * @param dialect Reads the heads of responses.
-     * @param openedConnections Counts the connections that are opened.
+     * @param metrics The metrics to which those of connections are added.
      */
     public EndpointConnectionPool(
-            NioReactor reactor, HeaderDialect dialect, Counter openedConnections) {
+            NioReactor reactor, HeaderDialect dialect, GatewayMetrics metrics) {
         this.reactor = reactor;
         this.dialect = dialect;
-        this.openedConnections = openedConnections;
+        this.metrics = metrics;
     }
 
     /**
@@ -83,7 +83,7 @@
                 return Promise.of(connection);
             }
         }
-        openedConnections.inc();
+        metrics.counter("endpoint_connections_total").inc();
         SettablePromise<EndpointConnection> acquired = new SettablePromise<>();
         ScheduledRunnable timer =
                 EventLoopLag.delayUntilInputIsHandled(
@@ -208,6 +208,17 @@
         idleConnections.values().removeIf(Deque::isEmpty);
     }
 
+    /**
+     * Reports data that belongs to no response.
+     *
+     * @param kind The kind of the data.
+     * @param connection The connection that received it.
+     * @param requestId The identifier of the latest request on the connection.
+     */
+    void reportUnsolicited(UnsolicitedData kind, EndpointConnection connection, String requestId) {
+        kind.report(metrics, connection.endpoint().incarnation(), requestId);
+    }
+
     /**
      * Returns the current time.
      *
--- a/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/exchange/GatewayContext.java
+++ b/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/exchange/GatewayContext.java
@@ -127,9 +127,7 @@
         this.metrics = metrics;
         budgets = new RetryBudgets(retryAllowance);
         zoneReachability = new ZoneReachability(placementSettings.zone());
-        endpointConnections =
-                new EndpointConnectionPool(
-                        reactor, dialect, metrics.counter("endpoint_connections_total"));
+        endpointConnections = new EndpointConnectionPool(reactor, dialect, metrics);
         picker =
                 new EndpointPicker(
                         placementSettings,
--- a/chicorytrestle-gateway/src/test/java/io/chicorytrestle/gateway/endpoint/EndpointConnectionPoolTest.java
+++ b/chicorytrestle-gateway/src/test/java/io/chicorytrestle/gateway/endpoint/EndpointConnectionPoolTest.java
@@ -11,6 +11,7 @@
 import io.chicorytrestle.gateway.dialect.GatewayRequest;
 import io.chicorytrestle.gateway.dialect.HeaderDialect;
 import io.chicorytrestle.gateway.dialect.ResponseMetadata;
+import io.chicorytrestle.gateway.operations.GatewayMetrics;
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpResponse;
@@ -31,10 +32,12 @@
 
     private final Eventloop reactor = Eventloop.builder().withCurrentThread().build();
 
-    private final Counter openedConnections = new Counter();
+    private final GatewayMetrics metrics = new GatewayMetrics();
+
+    private final Counter openedConnections = metrics.counter("endpoint_connections_total");
 
     private final EndpointConnectionPool pool =
-            new EndpointConnectionPool(reactor, new UnusedDialect(), openedConnections);
+            new EndpointConnectionPool(reactor, new UnusedDialect(), metrics);
 
     /** The connection is established at once, and the event loop is busy until the time-out. */
     @Test
