Refuse a response that is composed of a part of one and another one

Cause: an endpoint that stops inside the head of a response, or of a second copy of an earlier one, and goes on with a whole response on the same connection. The decoder took the second status line for a part of the reason phrase, of a field's value or of the trailers, so that the caller got the status of the one response with the seal and the body of the other. To the instance it was a success; the record has no failed attempt for it either.

StrictResponseDecoder, in the place of HeadAwareResponseDecoder, decides in one place what a well-formed response is, for endpoints and the store: known version and status, line ends and field names, no status line inside another line, fields that occur once (those of the deployment are named by its dialect), one framing, no folded line, no field of the head in the trailers. Each joined head has a second status line, so that whichever line the cut is in, the response is refused; the attempt may have run, and is repeated where the route allows it.

--- a/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/dialect/HeaderDialect.java
+++ b/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/dialect/HeaderDialect.java
@@ -3,6 +3,7 @@
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpResponse;
+import java.util.List;
 
 /**
  * Translates between a deployment's HTTP headers and the gateway's types. It makes no decisions.
@@ -33,4 +34,11 @@
      * @return The values of the headers.
      */
     ResponseMetadata read(HttpResponse head);
+
+    /**
+     * Returns the names of the deployment's own headers that a response has at most once.
+     *
+     * @return The names.
+     */
+    List<String> singleResponseHeaders();
 }
--- a/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/endpoint/EndpointConnection.java
+++ b/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/endpoint/EndpointConnection.java
@@ -4,8 +4,8 @@
 import io.chicorytrestle.core.placement.ServingEndpoint;
 import io.chicorytrestle.gateway.dialect.HeaderDialect;
 import io.chicorytrestle.gateway.dialect.ResponseMetadata;
-import io.chicorytrestle.gateway.link.HeadAwareResponseDecoder;
 import io.chicorytrestle.gateway.link.HttpConnection;
+import io.chicorytrestle.gateway.link.StrictResponseDecoder;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpMethod;
@@ -37,7 +37,7 @@
     private final HttpConnection connection;
 
     /** Decodes responses. */
-    private final HeadAwareResponseDecoder decoder = new HeadAwareResponseDecoder();
+    private final StrictResponseDecoder decoder;
 
     /** Receives the response, or null while no request is under way. */
     private @Nullable ResponseListener listener;
@@ -80,6 +80,7 @@
         this.dialect = dialect;
         this.pool = pool;
         this.keepAliveMillis = keepAliveMillis;
+        decoder = new StrictResponseDecoder(pool.responseSyntax());
         connection = HttpConnection.of(socket, this, decoder, new HttpRequestEncoder());
     }
 
--- a/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/endpoint/EndpointConnectionPool.java
+++ b/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/endpoint/EndpointConnectionPool.java
@@ -11,6 +11,7 @@
 import io.chicorytrestle.gateway.dialect.HeaderDialect;
 import io.chicorytrestle.gateway.link.Addresses;
 import io.chicorytrestle.gateway.link.EventLoopLag;
+import io.chicorytrestle.gateway.link.ResponseSyntax;
 import io.chicorytrestle.gateway.operations.GatewayMetrics;
 import java.io.IOException;
 import java.time.Duration;
@@ -47,6 +48,9 @@
     /** Reads the heads of responses. */
     private final HeaderDialect dialect;
 
+    /** Decides whether responses are well-formed. */
+    private final ResponseSyntax responseSyntax;
+
     /** The metrics of connections. */
     private final GatewayMetrics metrics;
 
@@ -64,6 +68,7 @@
             NioReactor reactor, HeaderDialect dialect, GatewayMetrics metrics) {
         this.reactor = reactor;
         this.dialect = dialect;
+        responseSyntax = ResponseSyntax.of(dialect.singleResponseHeaders());
         this.metrics = metrics;
     }
 
@@ -208,6 +213,15 @@
         idleConnections.values().removeIf(Deque::isEmpty);
     }
 
+    /**
+     * Returns the syntax of responses.
+     *
+     * @return Decides whether responses are well-formed.
+     */
+    ResponseSyntax responseSyntax() {
+        return responseSyntax;
+    }
+
     /**
      * Reports data that belongs to no response.
      *
--- a/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/link/PooledHttpClient.java
+++ b/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/link/PooledHttpClient.java
@@ -15,6 +15,7 @@
 import io.netty.handler.codec.http.HttpObject;
 import io.netty.handler.codec.http.HttpRequestEncoder;
 import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpStatusClass;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.handler.codec.http.LastHttpContent;
@@ -178,6 +179,10 @@
         /** Carries the HTTP messages. */
         private final HttpConnection connection;
 
+        /** Decodes responses. */
+        private final StrictResponseDecoder decoder =
+                new StrictResponseDecoder(ResponseSyntax.of(List.of()));
+
         /** The body bytes received so far. */
         private final ByteArrayOutputStream responseBody = new ByteArrayOutputStream();
 
@@ -193,15 +198,16 @@
         /** Whether the response allows the connection to be reused. */
         private boolean isKeepAlive;
 
+        /** Whether the response is an interim one, which another follows. */
+        private boolean isInterim;
+
         /**
          * Wraps a connected socket.
          *
          * @param socket The socket.
          */
         private PooledConnection(ITcpSocket socket) {
-            connection =
-                    HttpConnection.of(
-                            socket, this, new HeadAwareResponseDecoder(), new HttpRequestEncoder());
+            connection = HttpConnection.of(socket, this, decoder, new HttpRequestEncoder());
         }
 
         /**
@@ -244,13 +250,14 @@
             }
             if (message instanceof HttpResponse head) {
                 status = head.status().code();
+                isInterim = head.status().codeClass() == HttpStatusClass.INFORMATIONAL;
                 isKeepAlive = HttpUtil.isKeepAlive(head);
             }
             if (message instanceof HttpContent content) {
                 byte[] bytes = new byte[content.content().readableBytes()];
                 content.content().readBytes(bytes);
                 responseBody.writeBytes(bytes);
-                if (content instanceof LastHttpContent) {
+                if (content instanceof LastHttpContent && !isInterim) {
                     completeResponse();
                 }
             }
--- a/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/link/StrictRequestDecoder.java
+++ b/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/link/StrictRequestDecoder.java
@@ -28,11 +28,8 @@
     /** Whether the head of the current request was delivered. */
     private boolean isInBody;
 
-    /** Whether the request line of the current request was read. */
-    private boolean isRequestLineRead;
-
-    /** Whether a header of the current request uses obsolete line folding. */
-    private boolean hasFoldedHeader;
+    /** Detects headers of the current request that use obsolete line folding. */
+    private final FoldedLineDetector foldedLines = new FoldedLineDetector();
 
     /**
      * Creates a new decoder.
@@ -53,53 +50,22 @@
     protected void decode(ChannelHandlerContext context, ByteBuf buffer, List<Object> out)
             throws Exception {
         if (!isInBody) {
-            hasFoldedHeader |= hasFoldedLine(buffer);
+            foldedLines.inspect(buffer);
         }
         int sizeBefore = out.size();
         super.decode(context, buffer, out);
         for (Object decoded : List.copyOf(out.subList(sizeBefore, out.size()))) {
             if (decoded instanceof HttpMessage message) {
                 isInBody = true;
-                if (hasFoldedHeader) {
+                if (foldedLines.isDetected()) {
                     message.headers().set(AMBIGUOUS_FRAMING_HEADER, "");
                 }
             }
             if (decoded instanceof LastHttpContent) {
                 isInBody = false;
-                isRequestLineRead = false;
-                hasFoldedHeader = false;
-            }
-        }
-    }
-
-    /**
-     * Returns whether a header line in the undecoded part of the head begins with white space.
-     *
-     * @param buffer The undecoded bytes; the reader index is not changed.
-     * @return {@code true} if a header is folded onto another line.
-     */
-    private boolean hasFoldedLine(ByteBuf buffer) {
-        int start = buffer.readerIndex();
-        boolean isLineStart = isRequestLineRead;
-        boolean isBlank = true;
-        for (int index = start; index < buffer.writerIndex(); index++) {
-            byte next = buffer.getByte(index);
-            if (isLineStart && (next == ' ' || next == '\t')) {
-                return true;
-            }
-            if (next == '\n') {
-                if (isBlank && isRequestLineRead) {
-                    return false;
-                }
-                isRequestLineRead |= !isBlank;
-                isLineStart = isRequestLineRead;
-                isBlank = true;
-            } else {
-                isLineStart = false;
-                isBlank &= next == '\r';
+                foldedLines.reset();
             }
         }
-        return false;
     }
 
     @Override
@@ -116,12 +82,20 @@
      *     transfer encoding is exactly {@code chunked}.
      */
     public static boolean hasUnambiguousFraming(HttpMessage message) {
+        return hasKnownEncoding(message) && !message.headers().contains(AMBIGUOUS_FRAMING_HEADER);
+    }
+
+    /**
+     * Returns whether a message has no transfer encoding but {@code chunked}.
+     *
+     * @param message The head of the message.
+     * @return {@code true} if there is none, or exactly {@code chunked}.
+     */
+    static boolean hasKnownEncoding(HttpMessage message) {
         List<String> encodings = message.headers().getAll(HttpHeaderNames.TRANSFER_ENCODING);
-        boolean isKnownEncoding =
-                encodings.isEmpty()
-                        || (encodings.size() == 1
-                                && HttpHeaderValues.CHUNKED.contentEqualsIgnoreCase(
-                                        encodings.get(0).trim()));
-        return isKnownEncoding && !message.headers().contains(AMBIGUOUS_FRAMING_HEADER);
+        return encodings.isEmpty()
+                || (encodings.size() == 1
+                        && HttpHeaderValues.CHUNKED.contentEqualsIgnoreCase(
+                                encodings.get(0).trim()));
     }
 }
--- a/chicorytrestle-gateway/src/test/java/io/chicorytrestle/gateway/endpoint/EndpointConnectionPoolTest.java
+++ b/chicorytrestle-gateway/src/test/java/io/chicorytrestle/gateway/endpoint/EndpointConnectionPoolTest.java
@@ -104,5 +104,10 @@
         public ResponseMetadata read(HttpResponse head) {
             throw new UnsupportedOperationException("No response is read");
         }
+
+        @Override
+        public List<String> singleResponseHeaders() {
+            return List.of();
+        }
     }
 }
