Reuse no connection on which bytes follow a response

Callers saw 502 for a request whose endpoint responded soundly. An endpoint had sent a part of a second copy after its response to the request before; the part stayed in the decoder of the pooled connection, and the sound response was read as the rest of it.

A connection is reused only if its decoder is between two responses, and is closed when any byte arrives while it carries no request; so are those to the store. JoinedResponseTest.testResponseWhenPartOfACopyFollowedTheEarlierResponse draws every length of the part; it failed before with a part of one byte and passes now.

--- a/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/endpoint/EndpointConnection.java
+++ b/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/endpoint/EndpointConnection.java
@@ -149,6 +149,14 @@
         idleSinceMillis = pool.nowMillis();
     }
 
+    @Override
+    public void onBytesReceived() {
+        if (listener == null) {
+            pool.reportUnsolicited(UnsolicitedData.WHILE_IDLE, this, requestId);
+            discard();
+        }
+    }
+
     @Override
     public void onMessage(HttpObject message) {
         if (message.decoderResult().isFailure()) {
@@ -158,8 +166,7 @@
         }
         ResponseListener responseListener = listener;
         if (responseListener == null) {
-            pool.reportUnsolicited(UnsolicitedData.WHILE_IDLE, this, requestId);
-            failInvalidResponse("response without a pending request");
+            discard();
             return;
         }
         if (message instanceof HttpResponse head) {
@@ -218,7 +225,7 @@
             return;
         }
         listener = null;
-        if (connection.hasUndelivered()) {
+        if (connection.hasUndelivered() || !decoder.isBetweenResponses()) {
             isReusable = false;
             pool.reportUnsolicited(UnsolicitedData.AFTER_RESPONSE, this, requestId);
         }
--- a/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/link/HttpConnection.java
+++ b/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/link/HttpConnection.java
@@ -146,6 +146,10 @@
             return;
         }
         listener.onBytesReceived();
+        if (isClosed) {
+            buffer.recycle();
+            return;
+        }
         codec.writeInbound(Unpooled.wrappedBuffer(buffer.asArray()));
         deliverMessages();
         if (codec.inboundMessages().size() < MAXIMUM_PENDING_MESSAGES) {
--- a/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/link/PooledHttpClient.java
+++ b/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/link/PooledHttpClient.java
@@ -241,6 +241,13 @@
             }
         }
 
+        @Override
+        public void onBytesReceived() {
+            if (responsePromise == null) {
+                onFailure(new IOException("Server sent bytes without a request"));
+            }
+        }
+
         @Override
         public void onMessage(HttpObject message) {
             if (message.decoderResult().isFailure()) {
@@ -266,7 +273,7 @@
         /** Completes the promise with the response, and pools or closes the connection. */
         private void completeResponse() {
             SettablePromise<Response> promise = takePromise();
-            if (isKeepAlive && promise != null) {
+            if (isKeepAlive && promise != null && decoder.isBetweenResponses()) {
                 idleConnections.addFirst(this);
             } else {
                 connection.close();
