Skip no response whose end is unknown

A caller got a forged response: a late copy of a response to POST arrived on a connection that carried a HEAD request by then. It was read without a body, as the response to HEAD is, so that its body was read as the next response, which named the request under way. The reverse, a copy of a response to HEAD that is read with a body, swallows the response that follows.

A response to another request is no longer skipped on a connection that has carried a HEAD request: the attempt ends as one that may have run. JoinedResponseTest.testResponseWhenACopyArrivesForARequestWithAnotherMethod got the forged 200 before and gets 502 now.

--- a/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/endpoint/EndpointConnection.java
+++ b/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/endpoint/EndpointConnection.java
@@ -54,6 +54,9 @@
     /** Whether the connection carried another request before. */
     private boolean isReused;
 
+    /** Whether the connection carried a HEAD request, or carries one. */
+    private boolean hasCarriedHead;
+
     /** The time in milliseconds after which the endpoint closes an idle connection. */
     private long keepAliveMillis;
 
@@ -105,7 +108,9 @@
         isReused = !requestId.isEmpty();
         requestId = id;
         phase = Phase.HEAD;
-        decoder.setHeadRequest(request.method().equals(HttpMethod.HEAD));
+        boolean isHead = request.method().equals(HttpMethod.HEAD);
+        hasCarriedHead |= isHead;
+        decoder.setHeadRequest(isHead);
         connection.write(request);
         connection.startReading();
     }
@@ -185,7 +190,8 @@
     /**
      * Handles the head of a response. An interim response and one that names another request are
      * skipped. So is one that names none, if it is successful or may repeat the response to an
-     * earlier request; the response to this one can still follow.
+     * earlier request; the response to this one can still follow. The end of a skipped response is
+     * unknown where its request may have been a HEAD request and this one is none, or the reverse.
      *
      * @param head The head.
      * @param responseListener Receives the response.
@@ -205,6 +211,9 @@
         if (isForeign) {
             phase = Phase.SKIPPED;
             pool.reportUnsolicited(UnsolicitedData.FOREIGN_RESPONSE, this, requestId);
+            if (hasCarriedHead) {
+                failInvalidResponse("response to another request, whose end is unknown");
+            }
         } else {
             phase = Phase.BODY;
             responseListener.onHead(head, decoder.framing(head), metadata);
