Detect a response that follows a body without a length

Callers got "body" followed by the whole text of another response as one complete 200 (MIXED), or events followed by it: a body that ends with its connection has no end of its own, so that a second answer on that connection is read as its continuation.

ResponseHeadDetector inspects such bodies, and only those, for a status line whose head has one of the deployment's own headers; the attempt then ends as one that may have run.

--- a/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/endpoint/EndpointConnection.java
+++ b/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/endpoint/EndpointConnection.java
@@ -4,7 +4,9 @@
 import io.chicorytrestle.core.placement.ServingEndpoint;
 import io.chicorytrestle.gateway.dialect.HeaderDialect;
 import io.chicorytrestle.gateway.dialect.ResponseMetadata;
+import io.chicorytrestle.gateway.link.BodyFraming;
 import io.chicorytrestle.gateway.link.HttpConnection;
+import io.chicorytrestle.gateway.link.ResponseHeadDetector;
 import io.chicorytrestle.gateway.link.StrictResponseDecoder;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.HttpContent;
@@ -42,6 +44,9 @@
     /** Receives the response, or null while no request is under way. */
     private @Nullable ResponseListener listener;
 
+    /** Inspects the body of the response under way, or null if the body has a length. */
+    private @Nullable ResponseHeadDetector headDetector;
+
     /** The identifier of the request under way. */
     private String requestId = "";
 
@@ -179,6 +184,10 @@
         }
         if (message instanceof HttpContent content) {
             if (phase == Phase.BODY) {
+                if (headDetector != null && headDetector.inspect(content.content())) {
+                    failInvalidResponse("body contains another response");
+                    return;
+                }
                 responseListener.onContent(content.content());
             }
             if (content instanceof LastHttpContent) {
@@ -216,7 +225,12 @@
             }
         } else {
             phase = Phase.BODY;
-            responseListener.onHead(head, decoder.framing(head), metadata);
+            BodyFraming framing = decoder.framing(head);
+            headDetector =
+                    framing == BodyFraming.CONNECTION_END
+                            ? new ResponseHeadDetector(pool.responseSyntax())
+                            : null;
+            responseListener.onHead(head, framing, metadata);
         }
     }
 
--- a/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/link/ResponseSyntax.java
+++ b/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/link/ResponseSyntax.java
@@ -9,7 +9,9 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.regex.Matcher;
 import java.util.regex.Pattern;
+import java.util.stream.Collectors;
 import java.util.stream.Stream;
 
 /**
@@ -46,26 +48,56 @@
     /** The headers that a response has at most once, and only in its head. */
     private final List<String> singleHeaders;
 
+    /** Finds a header of the deployment at the begin of a line. */
+    private final Pattern deploymentHeader;
+
     /**
      * Creates a syntax.
      *
-     * @param singleHeaders The names of headers that a response has at most once, and only in its
-     *     head, besides those of HTTP.
+     * @param deploymentHeaders The names of headers that a response has at most once, and only in
+     *     its head, besides those of HTTP.
      */
-    private ResponseSyntax(List<String> singleHeaders) {
-        this.singleHeaders = singleHeaders;
+    private ResponseSyntax(Collection<String> deploymentHeaders) {
+        singleHeaders =
+                Stream.concat(STANDARD_SINGLE_HEADERS.stream(), deploymentHeaders.stream())
+                        .toList();
+        deploymentHeader =
+                Pattern.compile(
+                        deploymentHeaders.stream()
+                                .map(Pattern::quote)
+                                .collect(Collectors.joining("|", "^(?:", "):")),
+                        Pattern.MULTILINE | Pattern.CASE_INSENSITIVE);
     }
 
     /**
      * Creates a syntax.
      *
-     * @param singleHeaders The names of headers that a response has at most once, and only in its
-     *     head, besides those of HTTP.
+     * @param deploymentHeaders The names of headers that a response has at most once, and only in
+     *     its head, besides those of HTTP.
      * @return The syntax.
      */
-    public static ResponseSyntax of(Collection<String> singleHeaders) {
-        return new ResponseSyntax(
-                Stream.concat(STANDARD_SINGLE_HEADERS.stream(), singleHeaders.stream()).toList());
+    public static ResponseSyntax of(Collection<String> deploymentHeaders) {
+        return new ResponseSyntax(deploymentHeaders);
+    }
+
+    /**
+     * Returns a matcher that finds status lines.
+     *
+     * @param text The text to search.
+     * @return The matcher.
+     */
+    static Matcher statusLineIn(CharSequence text) {
+        return STATUS_LINE.matcher(text);
+    }
+
+    /**
+     * Returns whether a text that begins with a status line is the head of a response.
+     *
+     * @param text The text.
+     * @return {@code true} if a line of it holds a header of the deployment.
+     */
+    boolean isHead(String text) {
+        return deploymentHeader.matcher(text).find();
     }
 
     /**
