Break off a stream whose continuation has no events and no proper end

Cause: whether a run may end a stream was decided by its last bytes alone. A run without any bytes ends outside of an event, so it looked complete.

The end of the caller's response is the only thing that tells it that nothing is missing, so an empty continuation ends a stream only if nothing shows that an event is due and the run was run to its end: - Its body has a last chunk. It is written after the run; a length of zero stands in the head, before anything ran, and the end of a connection shows nothing. Comments are no events. Otherwise the attempt counts as broken off: the stream is resumed at another endpoint or visibly cut, and its caller can resume it. An empty response that ends with its connection is broken off also where the caller itself asked for a resumption; it could not be told from a truncation.

EventSequence holds these decisions; EventStreamSplitter keeps the bytes. An earlier check is stricter by this: a run that starts anew after a comment was not noticed, since the comment counted as its first event.

--- a/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/exchange/EventStreamSplitter.java
+++ b/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/exchange/EventStreamSplitter.java
@@ -1,10 +1,10 @@
 package io.chicorytrestle.gateway.exchange;
 
+import io.chicorytrestle.gateway.link.BodyFraming;
 import io.netty.buffer.ByteBuf;
 import java.io.ByteArrayOutputStream;
 import java.nio.charset.StandardCharsets;
 import java.util.Optional;
-import java.util.OptionalLong;
 
 /**
  * Splits a stream of server-sent events into complete events and keeps the identifier of the last
@@ -12,26 +12,14 @@
  */
 final class EventStreamSplitter {
 
-    /** The field that holds the identifier of an event. */
-    private static final String ID_FIELD = "id:";
-
     /** The begin of a line that is no part of an event. */
     private static final String COMMENT_PREFIX = ":";
 
     /** The bytes of an event that is not complete yet. */
     private final ByteArrayOutputStream partialEvent = new ByteArrayOutputStream();
 
-    /** Whether no event was complete yet. */
-    private boolean isBeforeFirstEvent = true;
-
-    /** Whether the next event must follow the last one of an earlier run. */
-    private boolean isResuming;
-
-    /** Whether a run that should have resumed the stream repeats an event. */
-    private boolean isRepeating;
-
-    /** The identifier of the last complete event that carried one. */
-    private Optional<String> lastEventId = Optional.empty();
+    /** Follows the complete events. */
+    private final EventSequence sequence = new EventSequence();
 
     /**
      * Adds bytes of the stream.
@@ -49,27 +37,19 @@
         if (end == 0) {
             return new byte[0];
         }
-        isBeforeFirstEvent = false;
         partialEvent.reset();
         partialEvent.write(buffered, end, buffered.length - end);
         byte[] completeEvents = new byte[end];
         System.arraycopy(buffered, 0, completeEvents, 0, end);
-        if (isResuming) {
-            isResuming = false;
-            isRepeating = isRepeated(completeEvents);
-            if (isRepeating) {
-                return new byte[0];
-            }
-        }
-        updateLastEventId(completeEvents);
-        return completeEvents;
+        boolean isContinued =
+                sequence.append(new String(completeEvents, StandardCharsets.ISO_8859_1));
+        return isContinued ? completeEvents : new byte[0];
     }
 
     /** Discards a partial event; the next events come from a run that resumes the stream. */
     void resume() {
+        sequence.resume(isInsideEvent());
         partialEvent.reset();
-        isResuming = true;
-        isRepeating = false;
     }
 
     /**
@@ -78,40 +58,7 @@
      * @return {@code true} if the bytes of this run do not continue the stream.
      */
     boolean isRepeating() {
-        return isRepeating;
-    }
-
-    /**
-     * Returns {@code true} if the first identifier of events does not follow the last one.
-     *
-     * @param events The complete events.
-     * @return {@code true} if both are numbers and the first is not larger.
-     */
-    private boolean isRepeated(byte[] events) {
-        OptionalLong first =
-                new String(events, StandardCharsets.ISO_8859_1)
-                        .lines()
-                        .filter(line -> line.startsWith(ID_FIELD))
-                        .map(line -> parseId(line.substring(ID_FIELD.length())))
-                        .findFirst()
-                        .orElse(OptionalLong.empty());
-        OptionalLong last =
-                lastEventId.map(EventStreamSplitter::parseId).orElseGet(OptionalLong::empty);
-        return first.isPresent() && last.isPresent() && first.getAsLong() <= last.getAsLong();
-    }
-
-    /**
-     * Parses an identifier.
-     *
-     * @param id The identifier.
-     * @return The number, or empty if the identifier is none.
-     */
-    private static OptionalLong parseId(String id) {
-        try {
-            return OptionalLong.of(Long.parseLong(id.strip()));
-        } catch (NumberFormatException exception) {
-            return OptionalLong.empty();
-        }
+        return sequence.isRepeating();
     }
 
     /**
@@ -148,12 +95,13 @@
     }
 
     /**
-     * Returns {@code true} if no event was complete yet.
+     * Returns {@code true} if the stream cannot be complete where its current run ends now.
      *
-     * @return {@code true} if {@link #append} has returned no bytes so far.
+     * @param framing How the run declares the end of its body.
+     * @return {@code true} if the run ends inside an event or leaves events out.
      */
-    boolean isBeforeFirstEvent() {
-        return isBeforeFirstEvent;
+    boolean isEndMissing(BodyFraming framing) {
+        return isInsideEvent() || sequence.isEndMissing(framing);
     }
 
     /**
@@ -162,7 +110,7 @@
      * @return The identifier, or empty if no event carried one.
      */
     Optional<String> lastEventId() {
-        return lastEventId;
+        return sequence.lastId();
     }
 
     /**
@@ -185,22 +133,4 @@
         }
         return 0;
     }
-
-    /**
-     * Updates the identifier of the last event, if any of the events carries one.
-     *
-     * @param events The complete events.
-     */
-    private void updateLastEventId(byte[] events) {
-        String text = new String(events, StandardCharsets.ISO_8859_1);
-        int start = text.startsWith(ID_FIELD) ? 0 : -1;
-        int lastFieldOffset = text.lastIndexOf('\n' + ID_FIELD);
-        if (lastFieldOffset >= 0) {
-            start = lastFieldOffset + 1;
-        }
-        if (start >= 0) {
-            int end = text.indexOf('\n', start);
-            lastEventId = Optional.of(text.substring(start + ID_FIELD.length(), end).strip());
-        }
-    }
 }
--- a/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/exchange/Exchange.java
+++ b/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/exchange/Exchange.java
@@ -248,7 +248,7 @@
      * @return {@code true} if it is an event stream that was broken off.
      */
     boolean isBrokenOff(BodyFraming framing) {
-        return relay.isBrokenOff(framing, routed.request().lastEventId().isPresent());
+        return relay.isBrokenOff(framing);
     }
 
     /**
--- a/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/exchange/ResponseRelay.java
+++ b/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/exchange/ResponseRelay.java
@@ -118,16 +118,10 @@
      * Returns {@code true} if an event stream cannot be complete where it ends now.
      *
      * @param framing How the endpoint's response declares the end of its body.
-     * @param isResumed Whether the stream continues one whose last event the caller may know.
-     * @return {@code true} if the stream ends inside an event, or with its connection before the
-     *     first event.
+     * @return {@code true} if the stream ends inside an event or leaves events out.
      */
-    boolean isBrokenOff(BodyFraming framing, boolean isResumed) {
-        return isEventStream
-                && (splitter.isInsideEvent()
-                        || (framing == BodyFraming.CONNECTION_END
-                                && !isResumed
-                                && splitter.isBeforeFirstEvent()));
+    boolean isBrokenOff(BodyFraming framing) {
+        return isEventStream && splitter.isEndMissing(framing);
     }
 
     /**
@@ -139,9 +133,14 @@
         return splitter.partialEventBytes();
     }
 
-    /** Discards the part of an event that was not forwarded; another run resumes the stream. */
+    /**
+     * Discards the part of an event that was not forwarded; another run resumes the stream, if one
+     * has begun.
+     */
     void resume() {
-        splitter.resume();
+        if (isStarted) {
+            splitter.resume();
+        }
     }
 
     /**
