Continue a stream only with the event that follows its last one

Cause: the first event of a continuation was only compared with the last one where both had numbers, and had only to be larger. What the identifiers of the stream had shown so far was not used, and an event without an identifier was taken for the next one.

What the same stream has shown decides: - Identifiers that began at 1 or increased by exactly one each count events: the next number continues the stream, any other leaves an event out. - Identifiers that have left out numbers before may do so again. - The first event of a continuation carries an identifier of the same kind ("a series of events with increasing ids"); without one nothing shows that it follows. - After an event without an identifier nothing tells where to continue, so the stream is not resumed (its events came twice) and is visibly cut. Weighed: a refused sound continuation costs the caller the rest of one response, after another endpoint was tried, and the caller can still resume the stream itself; a stream that silently lacks an event can be mended by nobody. A run that leaves an event out shows that an event is due, so that an empty run after it cannot end the stream.

--- a/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/exchange/AttemptTracker.java
+++ b/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/exchange/AttemptTracker.java
@@ -33,7 +33,10 @@
     /** Whether the next attempt was already charged to the retry budget. */
     private boolean isRetryCharged;
 
-    /** Whether the request must not be retried, because endpoints crash when they run it. */
+    /**
+     * Whether the request must not be retried, because endpoints crash when they run it or no other
+     * response could continue the one that was begun.
+     */
     private boolean isRetryForbidden;
 
     /**
@@ -85,7 +88,10 @@
         failedConnects++;
     }
 
-    /** Forbids further attempts, because endpoints crash when they run the request. */
+    /**
+     * Forbids further attempts, because endpoints crash when they run the request or no other
+     * response could continue the one that was begun.
+     */
     void forbidRetries() {
         isRetryForbidden = true;
     }
--- a/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/exchange/EventSequence.java
+++ b/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/exchange/EventSequence.java
@@ -31,8 +31,17 @@
     /** Whether an earlier run began an event that no run has completed. */
     private boolean isEventDue;
 
-    /** Whether the current run repeats an event instead of continuing the stream. */
-    private boolean isRepeating;
+    /** Whether the last event carried no identifier, so that no run can continue after it. */
+    private boolean isLastUnnumbered;
+
+    /** Whether an identifier exceeded the one before by exactly one. */
+    private boolean hasConsecutiveIds;
+
+    /** Whether an identifier exceeded the one before by more than one. */
+    private boolean hasGaps;
+
+    /** Why the current run does not continue the stream, or empty if it may. */
+    private Optional<Discontinuity> discontinuity = Optional.empty();
 
     /**
      * Adds events of the current run.
@@ -60,7 +69,10 @@
             } else if (!isBlankLine && events.charAt(lineStart) != COMMENT_PREFIX) {
                 hasField = true;
                 if (events.startsWith(ID_FIELD, lineStart)) {
-                    id = Optional.of(events.substring(lineStart + ID_FIELD.length(), newline));
+                    id =
+                            Optional.of(events.substring(lineStart + ID_FIELD.length(), newline))
+                                    .map(String::strip)
+                                    .filter(text -> !text.isEmpty());
                 }
             }
             lineStart = newline + 1;
@@ -76,30 +88,59 @@
      */
     private boolean appendEvent(Optional<String> id) {
         if (isResuming) {
-            isRepeating = isRepeated(id);
-            if (isRepeating) {
+            discontinuity = discontinuityOf(id);
+            if (discontinuity.isPresent()) {
+                isEventDue |= discontinuity.get() == Discontinuity.EVENTS_LEFT_OUT;
                 return false;
             }
             isResuming = false;
         }
         isRunEmpty = false;
         isEventDue = false;
-        if (id.isPresent()) {
-            lastId = id.map(String::strip);
-        }
+        isLastUnnumbered = id.isEmpty();
+        id.ifPresent(this::recordId);
         return true;
     }
 
     /**
-     * Returns {@code true} if the first event of a run repeats an event.
+     * Records the identifier of an event.
+     *
+     * @param id The identifier.
+     */
+    private void recordId(String id) {
+        OptionalLong number = parse(id);
+        OptionalLong last = lastNumber();
+        if (number.isPresent() && number.getAsLong() == last.orElse(0) + 1) {
+            hasConsecutiveIds = true;
+        } else if (last.isPresent()) {
+            hasGaps = true;
+        }
+        lastId = Optional.of(id);
+    }
+
+    /**
+     * Compares the first event of a run with the last event of the stream. Identifiers may leave
+     * out numbers; those of a stream that counts its events do not.
      *
      * @param id The identifier of the event, or empty if it carries none.
-     * @return {@code true} if both identifiers are numbers and that of the event is not larger.
+     * @return Why the event does not follow, or empty if it may.
      */
-    private boolean isRepeated(Optional<String> id) {
-        OptionalLong first = parse(id);
-        OptionalLong last = parse(lastId);
-        return first.isPresent() && last.isPresent() && first.getAsLong() <= last.getAsLong();
+    private Optional<Discontinuity> discontinuityOf(Optional<String> id) {
+        if (lastId.isEmpty()) {
+            return Optional.empty();
+        }
+        OptionalLong first = id.map(EventSequence::parse).orElseGet(OptionalLong::empty);
+        OptionalLong last = lastNumber();
+        if (id.isEmpty() || first.isPresent() != last.isPresent()) {
+            return Optional.of(Discontinuity.NUMBERED_DIFFERENTLY);
+        }
+        if (id.equals(lastId) || (last.isPresent() && first.getAsLong() <= last.getAsLong())) {
+            return Optional.of(Discontinuity.EVENTS_REPEATED);
+        }
+        boolean countsEvents = hasConsecutiveIds && !hasGaps;
+        return countsEvents && last.isPresent() && first.getAsLong() - 1 != last.getAsLong()
+                ? Optional.of(Discontinuity.EVENTS_LEFT_OUT)
+                : Optional.empty();
     }
 
     /**
@@ -112,16 +153,25 @@
         isResuming = true;
         isContinuation = true;
         isRunEmpty = true;
-        isRepeating = false;
+        discontinuity = Optional.empty();
+    }
+
+    /**
+     * Returns {@code true} if another run can continue the stream after its last event.
+     *
+     * @return {@code true} if there was no event or the last one carried an identifier.
+     */
+    boolean canResume() {
+        return !isLastUnnumbered;
     }
 
     /**
-     * Returns {@code true} if the current run repeats an event instead of continuing the stream.
+     * Returns why the current run does not continue the stream.
      *
-     * @return {@code true} if nothing more of this run may be forwarded.
+     * @return The reason, after which nothing more of this run may be forwarded, or empty.
      */
-    boolean isRepeating() {
-        return isRepeating;
+    Optional<Discontinuity> discontinuity() {
+        return discontinuity;
     }
 
     /**
@@ -148,18 +198,59 @@
     }
 
     /**
-     * Parses an identifier.
+     * Returns the number of the last event that carried an identifier.
      *
-     * @param id The identifier, if there is one.
      * @return The number, or empty if there is none.
      */
-    private static OptionalLong parse(Optional<String> id) {
+    private OptionalLong lastNumber() {
+        return lastId.map(EventSequence::parse).orElseGet(OptionalLong::empty);
+    }
+
+    /**
+     * Parses an identifier.
+     *
+     * @param id The identifier.
+     * @return The number, or empty if the identifier is none.
+     */
+    private static OptionalLong parse(String id) {
         try {
-            return id.isPresent()
-                    ? OptionalLong.of(Long.parseLong(id.get().strip()))
-                    : OptionalLong.empty();
+            return OptionalLong.of(Long.parseLong(id));
         } catch (NumberFormatException exception) {
             return OptionalLong.empty();
         }
     }
+
+    /** Enumerates why a run does not continue a stream. */
+    enum Discontinuity {
+
+        /** It begins with an event that was forwarded before. */
+        EVENTS_REPEATED("response repeats events of the stream"),
+
+        /** It begins after the event that follows. */
+        EVENTS_LEFT_OUT("response leaves out events of the stream"),
+
+        /** Its first event carries no identifier that could be compared. */
+        NUMBERED_DIFFERENTLY("response does not number its events as the stream does");
+
+        /** What is wrong with the response. */
+        private final String description;
+
+        /**
+         * Creates a reason.
+         *
+         * @param description What is wrong with the response.
+         */
+        Discontinuity(String description) {
+            this.description = description;
+        }
+
+        /**
+         * Returns what is wrong with the response, for the log.
+         *
+         * @return The description.
+         */
+        String description() {
+            return description;
+        }
+    }
 }
--- a/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/exchange/EventStreamSplitter.java
+++ b/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/exchange/EventStreamSplitter.java
@@ -26,7 +26,7 @@
      *
      * @param content The bytes, which are consumed.
      * @return The buffered bytes up to the end of the last complete event, possibly none; none if
-     *     they repeat an event instead of resuming the stream.
+     *     they do not continue the stream.
      */
     byte[] append(ByteBuf content) {
         byte[] bytes = new byte[content.readableBytes()];
@@ -53,12 +53,21 @@
     }
 
     /**
-     * Returns {@code true} if a run that should have resumed the stream repeats an event.
+     * Returns why the current run does not continue the stream.
      *
-     * @return {@code true} if the bytes of this run do not continue the stream.
+     * @return The reason, or empty if the run may continue it.
      */
-    boolean isRepeating() {
-        return sequence.isRepeating();
+    Optional<EventSequence.Discontinuity> discontinuity() {
+        return sequence.discontinuity();
+    }
+
+    /**
+     * Returns {@code true} if another run can continue the stream after its last event.
+     *
+     * @return {@code true} if there was no event or the last one carried an identifier.
+     */
+    boolean canResume() {
+        return sequence.canResume();
     }
 
     /**
--- a/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/exchange/Exchange.java
+++ b/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/exchange/Exchange.java
@@ -226,8 +226,11 @@
     void onStreamContent(Attempt from, ByteBuf content) {
         if (relay.send(content)) {
             from.progressMonitor().recordProgress();
-        } else if (relay.isRepeating()) {
-            from.rejectResponse("response repeats events of the stream");
+            if (!relay.canResume()) {
+                attempts.forbidRetries();
+            }
+        } else {
+            relay.discontinuity().ifPresent(reason -> from.rejectResponse(reason.description()));
         }
     }
 
--- a/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/exchange/ResponseRelay.java
+++ b/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/exchange/ResponseRelay.java
@@ -154,12 +154,21 @@
     }
 
     /**
-     * Returns {@code true} if the run that should have resumed an event stream repeats an event.
+     * Returns why the current run does not continue the event stream.
      *
-     * @return {@code true} if nothing more of this run may be forwarded.
+     * @return The reason, after which nothing more of this run may be forwarded, or empty.
      */
-    boolean isRepeating() {
-        return splitter.isRepeating();
+    Optional<EventSequence.Discontinuity> discontinuity() {
+        return splitter.discontinuity();
+    }
+
+    /**
+     * Returns {@code true} if another run can continue the response whose head was forwarded.
+     *
+     * @return {@code true} if it is an event stream whose last event carried an identifier.
+     */
+    boolean canResume() {
+        return isEventStream && splitter.canResume();
     }
 
     /**
