Hold an endpoint to the Last-Event-Id of a caller that resumes a stream

Seen by callers: a caller that resumed a stream after a broken connection got events that it had received already, where the endpoint started anew or repeated its last event, or a complete response without events from an endpoint that answered with Content-Length 0 or ended the connection after its head.

Cause: only continuations that the gateway itself asked for were compared with what had gone before. The Last-Event-Id of the caller states the same.

Fix: on routes that can resume streams the event sequence begins after the caller's identifier, if it is a number. The same decisions follow: another endpoint is tried, else the response is visibly cut. "Where the kind of request may be resumed, a new run that goes on at Last-Event-Id may follow": that is the only run that may. Routes that cannot resume answer each request as a whole, and nothing is compared there. A gap after the caller's identifier is passed on: one identifier does not show that they count events.

--- a/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/exchange/EventSequence.java
+++ b/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/exchange/EventSequence.java
@@ -156,6 +156,20 @@
         discontinuity = Optional.empty();
     }
 
+    /**
+     * Declares that the first run already must continue a stream, of which the caller received a
+     * part. An identifier that is no number is not compared.
+     *
+     * @param id The identifier of the last event that the caller received.
+     */
+    void resumeAfter(String id) {
+        if (parse(id.strip()).isPresent()) {
+            lastId = Optional.of(id.strip());
+            isResuming = true;
+            isContinuation = true;
+        }
+    }
+
     /**
      * Returns {@code true} if another run can continue the stream after its last event.
      *
--- a/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/exchange/EventStreamSplitter.java
+++ b/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/exchange/EventStreamSplitter.java
@@ -52,6 +52,15 @@
         partialEvent.reset();
     }
 
+    /**
+     * Declares that the first run already must continue a stream.
+     *
+     * @param id The identifier of the last event that the caller received.
+     */
+    void resumeAfter(String id) {
+        sequence.resumeAfter(id);
+    }
+
     /**
      * Returns why the current run does not continue the stream.
      *
--- a/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/exchange/Exchange.java
+++ b/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/exchange/Exchange.java
@@ -78,6 +78,9 @@
         this.context = context;
         this.routed = routed;
         relay = new ResponseRelay(caller);
+        if (routed.route().repeatability().allowsResume()) {
+            routed.request().lastEventId().ifPresent(relay::resumeAfter);
+        }
         reporter = new RequestReporter(context, routed, relay, arrivedMillis);
         attempts =
                 new AttemptTracker(routed.route(), context.budgets().forService(routed.service()));
--- a/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/exchange/ResponseRelay.java
+++ b/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/exchange/ResponseRelay.java
@@ -143,6 +143,15 @@
         }
     }
 
+    /**
+     * Declares that the response must continue a stream, of which the caller received a part.
+     *
+     * @param id The identifier of the last event that the caller received.
+     */
+    void resumeAfter(String id) {
+        splitter.resumeAfter(id);
+    }
+
     /**
      * Returns {@code true} if a response can continue the one whose head was forwarded.
      *
