--- a/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/exchange/Exchange.java
+++ b/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/exchange/Exchange.java
@@ -78,6 +78,9 @@
         this.context = context;
         this.routed = routed;
         relay = new ResponseRelay(caller);
+        if (routed.route().repeatability().allowsResume()) {
+            routed.request().lastEventId().ifPresent(relay::resumeAfter);
+        }
         reporter = new RequestReporter(context, routed, relay, arrivedMillis);
         attempts =
                 new AttemptTracker(routed.route(), context.budgets().forService(routed.service()));
@@ -226,8 +229,11 @@
     void onStreamContent(Attempt from, ByteBuf content) {
         if (relay.send(content)) {
             from.progressMonitor().recordProgress();
-        } else if (relay.isRepeating()) {
-            from.rejectResponse("response repeats events of the stream");
+            if (!relay.canResume()) {
+                attempts.forbidRetries();
+            }
+        } else {
+            relay.discontinuity().ifPresent(reason -> from.rejectResponse(reason.description()));
         }
     }
 
@@ -248,7 +254,7 @@
      * @return {@code true} if it is an event stream that was broken off.
      */
     boolean isBrokenOff(BodyFraming framing) {
-        return relay.isBrokenOff(framing, routed.request().lastEventId().isPresent());
+        return relay.isBrokenOff(framing);
     }
 
     /**
--- a/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/exchange/ResponseRelay.java
+++ b/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/exchange/ResponseRelay.java
@@ -118,16 +118,10 @@
      * Returns {@code true} if an event stream cannot be complete where it ends now.
      *
      * @param framing How the endpoint's response declares the end of its body.
-     * @param isResumed Whether the stream continues one whose last event the caller may know.
-     * @return {@code true} if the stream ends inside an event, or with its connection before the
-     *     first event.
+     * @return {@code true} if the stream ends inside an event or leaves events out.
      */
-    boolean isBrokenOff(BodyFraming framing, boolean isResumed) {
-        return isEventStream
-                && (splitter.isInsideEvent()
-                        || (framing == BodyFraming.CONNECTION_END
-                                && !isResumed
-                                && splitter.isBeforeFirstEvent()));
+    boolean isBrokenOff(BodyFraming framing) {
+        return isEventStream && splitter.isEndMissing(framing);
     }
 
     /**
@@ -139,9 +133,23 @@
         return splitter.partialEventBytes();
     }
 
-    /** Discards the part of an event that was not forwarded; another run resumes the stream. */
+    /**
+     * Discards the part of an event that was not forwarded; another run resumes the stream, if one
+     * has begun.
+     */
     void resume() {
-        splitter.resume();
+        if (isStarted) {
+            splitter.resume();
+        }
+    }
+
+    /**
+     * Declares that the response must continue a stream, of which the caller received a part.
+     *
+     * @param id The identifier of the last event that the caller received.
+     */
+    void resumeAfter(String id) {
+        splitter.resumeAfter(id);
     }
 
     /**
@@ -155,12 +163,21 @@
     }
 
     /**
-     * Returns {@code true} if the run that should have resumed an event stream repeats an event.
+     * Returns why the current run does not continue the event stream.
+     *
+     * @return The reason, after which nothing more of this run may be forwarded, or empty.
+     */
+    Optional<EventSequence.Discontinuity> discontinuity() {
+        return splitter.discontinuity();
+    }
+
+    /**
+     * Returns {@code true} if another run can continue the response whose head was forwarded.
      *
-     * @return {@code true} if nothing more of this run may be forwarded.
+     * @return {@code true} if it is an event stream whose last event carried an identifier.
      */
-    boolean isRepeating() {
-        return splitter.isRepeating();
+    boolean canResume() {
+        return isEventStream && splitter.canResume();
     }
 
     /**
