Reuse no connection to the store on which a second response follows

An instance waited for the time-out of a call to the store: a whole second response in the same packet closed the connection, which stayed in the pool, and the next call was written to it.

A connection with surplus data is closed and not pooled.

--- a/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/link/PooledHttpClient.java
+++ b/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/link/PooledHttpClient.java
@@ -273,7 +273,8 @@
         /** Completes the promise with the response, and pools or closes the connection. */
         private void completeResponse() {
             SettablePromise<Response> promise = takePromise();
-            if (isKeepAlive && promise != null && decoder.isBetweenResponses()) {
+            boolean hasSurplus = connection.hasUndelivered() || !decoder.isBetweenResponses();
+            if (isKeepAlive && promise != null && !hasSurplus) {
                 idleConnections.addFirst(this);
             } else {
                 connection.close();
