Keep that an endpoint is leaving also from a message that is overtaken

Heartbeats repeat the mark only as long as the entry is listed.

Cause: one order, that of the store's revisions, was applied to two kinds of knowledge. That an incarnation is leaving is never taken back, so that it holds whatever the revision of the message is.

Both new tests of FleetStateTest failed before, the second with "Expected: is <true> but: was <false>".

--- a/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/fleet/FleetState.java
+++ b/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/fleet/FleetState.java
@@ -131,7 +131,8 @@
     }
 
     /**
-     * Replaces all endpoints by those of a peer, if the peer knows a newer revision.
+     * Replaces all endpoints by those of a peer, if the peer knows a newer revision. Otherwise only
+     * those that are leaving are marked so.
      *
      * @param endpoints The endpoints.
      * @param revision The store's revision of the newest change known to the peer.
@@ -140,15 +141,18 @@
      */
     public void applyFromPeer(
             Collection<ServingEndpoint> endpoints, long revision, String peer, long nowMillis) {
-        if (revision > endpointRevision) {
-            endpointRevision = revision;
-            publish(directory.replace(endpoints, nowMillis), peer, nowMillis);
+        if (revision <= endpointRevision) {
+            keepLeaving(endpoints, peer, nowMillis);
+            return;
         }
+        endpointRevision = revision;
+        publish(directory.replace(endpoints, nowMillis), peer, nowMillis);
     }
 
     /**
      * Applies changes that this instance or another reader of the zone read from the store. Changes
-     * that are old or leave a gap are ignored; the next snapshot closes the gap.
+     * that are old or leave a gap are ignored, except that leaving endpoints are marked so; the
+     * next snapshot closes the gap.
      *
      * @param changes The changes and the range of revisions they cover.
      * @param nowMillis The current time in milliseconds.
@@ -157,12 +161,29 @@
         boolean isContiguous =
                 changes.baseRevision() <= endpointRevision && changes.revision() > endpointRevision;
         if (!isContiguous) {
+            keepLeaving(changes.changed(), changes.sender(), nowMillis);
             return;
         }
         endpointRevision = changes.revision();
         publish(updateDirectory(changes, nowMillis), changes.sender(), nowMillis);
     }
 
+    /**
+     * Marks the leaving ones of endpoints that are otherwise ignored: no later revision takes back
+     * that an incarnation is leaving, so that the order of such reports does not matter.
+     *
+     * @param endpoints The endpoints of a list that was overtaken or leaves a gap.
+     * @param source Where they came from; logged.
+     * @param nowMillis The current time in milliseconds.
+     */
+    private void keepLeaving(Collection<ServingEndpoint> endpoints, String source, long nowMillis) {
+        for (ServingEndpoint endpoint : endpoints) {
+            if (endpoint.isLeaving()) {
+                markLeaving(endpoint.incarnation(), source, nowMillis);
+            }
+        }
+    }
+
     /**
      * Applies changes to the directory of endpoints.
      *
--- a/chicorytrestle-gateway/src/test/java/io/chicorytrestle/gateway/fleet/FleetStateTest.java
+++ b/chicorytrestle-gateway/src/test/java/io/chicorytrestle/gateway/fleet/FleetStateTest.java
@@ -74,6 +74,25 @@
         assertThat(unavailableIncarnations, contains(FIRST.incarnation()));
     }
 
+    /** Guards against a leaving endpoint of which only an overtaken message tells. */
+    @Test
+    void testApplyFromPeerWhenAnOlderSnapshotHasALeavingEndpoint() {
+        state.replaceFromStore(List.of(FIRST, SECOND), 10, 0);
+        state.applyFromPeer(List.of(FIRST.asLeaving()), 10, "p", 1);
+
+        assertThat(servingEndpoints(), contains(SECOND));
+    }
+
+    @Test
+    void testApplyFromPeerWhenOlderChangesHaveALeavingEndpoint() {
+        state.replaceFromStore(List.of(FIRST, SECOND), 10, 0);
+        state.replaceFromStore(List.of(SECOND), 12, 1);
+        state.applyFromPeer(
+                new EndpointChanges("p", 10, 12, List.of(FIRST.asLeaving()), List.of("1")), 2);
+
+        assertThat(state.isLeaving(FIRST.incarnation()), is(true));
+    }
+
     @Test
     void testMarkLeavingWhenTwoPeersReportIt() {
         state.replaceFromStore(List.of(FIRST, SECOND), 10, 0);
