Ignore a listing of the store that a newer message has overtaken

Cause: a listing replaced the endpoints whatever its revision, while the known revision kept the larger of both.

Now the larger revision wins from whatever source, so that the endpoints are always those of the revision that the instance states.

--- a/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/fleet/FleetState.java
+++ b/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/fleet/FleetState.java
@@ -96,7 +96,8 @@
     }
 
     /**
-     * Replaces all endpoints by a complete list from the store.
+     * Replaces all endpoints by a complete list from the store, unless a newer revision is known: a
+     * peer's message may overtake the list. Then only leaving endpoints are marked so.
      *
      * @param endpoints The endpoints.
      * @param revision The store's revision at the time of the list.
@@ -104,7 +105,15 @@
      */
     public void replaceFromStore(
             Collection<ServingEndpoint> endpoints, long revision, long nowMillis) {
-        endpointRevision = Math.max(endpointRevision, revision);
+        if (revision < endpointRevision) {
+            keepLeaving(endpoints, "store", nowMillis);
+            LOGGER.atInfo()
+                    .with(LogFields.VERSION, revision)
+                    .with(LogFields.REASON, "revision " + endpointRevision + " is known")
+                    .log("endpoint_list_overtaken");
+            return;
+        }
+        endpointRevision = revision;
         publish(directory.replace(endpoints, nowMillis), "store", nowMillis);
     }
 
--- a/chicorytrestle-gateway/src/test/java/io/chicorytrestle/gateway/fleet/FleetStateTest.java
+++ b/chicorytrestle-gateway/src/test/java/io/chicorytrestle/gateway/fleet/FleetStateTest.java
@@ -65,6 +65,35 @@
         assertThat(servingEndpoints(), contains(FIRST, SECOND));
     }
 
+    /** Guards against an endpoint that a late listing of the store brings back. */
+    @Test
+    void testReplaceFromStoreWhenASnapshotHasOvertakenTheListing() {
+        state.applyFromPeer(List.of(SECOND), 6, "p", 0);
+        state.replaceFromStore(List.of(FIRST, SECOND), 5, 1);
+        state.applyFromPeer(new EndpointChanges("self", 6, 6, List.of(), List.of("1")), 2);
+
+        assertThat(servingEndpoints(), contains(SECOND));
+        assertThat(state.endpointRevision(), equalTo(6L));
+    }
+
+    @Test
+    void testReplaceFromStoreWhenALaterListingFollows() {
+        state.applyFromPeer(List.of(SECOND), 6, "p", 0);
+        state.replaceFromStore(List.of(FIRST, SECOND), 5, 1);
+        state.replaceFromStore(List.of(FIRST), 7, 2);
+
+        assertThat(servingEndpoints(), contains(FIRST));
+        assertThat(state.endpointRevision(), equalTo(7L));
+    }
+
+    @Test
+    void testReplaceFromStoreWhenAnOvertakenListingHasALeavingEndpoint() {
+        state.applyFromPeer(List.of(FIRST, SECOND), 6, "p", 0);
+        state.replaceFromStore(List.of(FIRST.asLeaving(), SECOND), 5, 1);
+
+        assertThat(servingEndpoints(), contains(SECOND));
+    }
+
     @Test
     void testMarkLeavingWhenPeerReportsIt() {
         state.replaceFromStore(List.of(FIRST, SECOND), 10, 0);
