Keep only connections in the pool that are read

Callers waited until their deadline, or got 502, for requests to sound endpoints.

- A connection given back without a request was not read, so that its closing by the endpoint went unnoticed.
It is read now.

EndpointConnectionPoolTest.testAcquireWhenReadingWasPausedAtTheEndOfTheResponse and testAcquireWhenAConnectionThatWasGivenBackWasClosedByItsEndpoint failed before and pass now.

--- a/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/endpoint/EndpointConnectionPool.java
+++ b/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/endpoint/EndpointConnectionPool.java
@@ -141,6 +141,7 @@
     public void giveBack(EndpointConnection connection) {
         connection.markIdle();
         release(connection);
+        connection.watch();
     }
 
     /**
--- a/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/link/HttpConnection.java
+++ b/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/link/HttpConnection.java
@@ -201,6 +201,15 @@
         isReadingPaused = true;
     }
 
+    /**
+     * Returns whether reading is paused.
+     *
+     * @return {@code true} until {@link #resumeReading()} is called.
+     */
+    public boolean isReadingPaused() {
+        return isReadingPaused;
+    }
+
     /** Resumes reading. */
     public void resumeReading() {
         isReadingPaused = false;
--- a/chicorytrestle-gateway/src/test/java/io/chicorytrestle/gateway/endpoint/EndpointConnectionPoolTest.java
+++ b/chicorytrestle-gateway/src/test/java/io/chicorytrestle/gateway/endpoint/EndpointConnectionPoolTest.java
@@ -11,15 +11,26 @@
 import io.chicorytrestle.gateway.dialect.GatewayRequest;
 import io.chicorytrestle.gateway.dialect.HeaderDialect;
 import io.chicorytrestle.gateway.dialect.ResponseMetadata;
+import io.chicorytrestle.gateway.link.BodyFraming;
 import io.chicorytrestle.gateway.operations.GatewayMetrics;
+import io.netty.buffer.ByteBuf;
+import io.netty.handler.codec.http.DefaultFullHttpRequest;
 import io.netty.handler.codec.http.HttpHeaders;
+import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpResponseStatus;
+import io.netty.handler.codec.http.HttpVersion;
 import java.io.IOException;
 import java.net.InetAddress;
 import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Optional;
+import java.util.OptionalInt;
+import java.util.OptionalLong;
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
@@ -30,6 +41,9 @@
     /** A time in milliseconds by which the time-out for connecting has passed. */
     private static final long LONG_WORK_MILLIS = 900;
 
+    /** A time in milliseconds in which the event loop handles what has arrived. */
+    private static final long CLOSE_MILLIS = 200;
+
     private final Eventloop reactor = Eventloop.builder().withCurrentThread().build();
 
     private final GatewayMetrics metrics = new GatewayMetrics();
@@ -61,6 +75,54 @@
         }
     }
 
+    /** Guards against a request on a connection that its endpoint has closed. */
+    @Test
+    void testAcquireWhenAConnectionThatWasGivenBackWasClosedByItsEndpoint() throws IOException {
+        try (ServerSocket server = new ServerSocket(0, 8, InetAddress.getLoopbackAddress())) {
+            EndpointConnection first = (EndpointConnection) acquireAndWork(server).get(0);
+            pool.giveBack(first);
+            server.accept().close();
+            runEventLoop(CLOSE_MILLIS);
+
+            assertThat(acquireAndWork(server).get(0) == first, equalTo(false));
+        }
+    }
+
+    private void runEventLoop(long millis) {
+        reactor.keepAlive(true);
+        reactor.delayBackground(
+                millis,
+                () -> {
+                    reactor.keepAlive(false);
+                    reactor.breakEventloop();
+                });
+        reactor.run();
+    }
+
+    /** Guards against a request on a connection that is not read, since its caller was slow. */
+    @Test
+    void testAcquireWhenReadingWasPausedAtTheEndOfTheResponse() throws IOException {
+        try (ServerSocket server = new ServerSocket(0, 8, InetAddress.getLoopbackAddress())) {
+            EndpointConnection first = (EndpointConnection) acquireAndWork(server).get(0);
+            reactor.execute(
+                    () ->
+                            first.send(
+                                    new DefaultFullHttpRequest(
+                                            HttpVersion.HTTP_1_1, HttpMethod.GET, "/"),
+                                    "r1",
+                                    new PausingListener(first)));
+            try (Socket socket = server.accept()) {
+                socket.getOutputStream()
+                        .write(
+                                "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nab"
+                                        .getBytes(StandardCharsets.ISO_8859_1));
+                runEventLoop(CLOSE_MILLIS);
+            }
+
+            assertThat(acquireAndWork(server).get(0) == first, equalTo(false));
+        }
+    }
+
     /** Acquires a connection, works for a long time, and runs the event loop until it is idle. */
     private List<Object> acquireAndWork(ServerSocket server) {
         ServingEndpoint endpoint =
@@ -102,7 +164,14 @@
 
         @Override
         public ResponseMetadata read(HttpResponse head) {
-            throw new UnsupportedOperationException("No response is read");
+            return new ResponseMetadata(
+                    Optional.of("r1"),
+                    true,
+                    false,
+                    false,
+                    OptionalLong.empty(),
+                    OptionalInt.empty(),
+                    OptionalLong.empty());
         }
 
         @Override
@@ -110,4 +179,33 @@
             return List.of();
         }
     }
+
+    /** Pauses the connection at the first part of the body. */
+    private record PausingListener(EndpointConnection connection) implements ResponseListener {
+
+        @Override
+        public void onHead(HttpResponse head, BodyFraming framing, ResponseMetadata metadata) {
+            assertThat(head.status(), equalTo(HttpResponseStatus.OK));
+        }
+
+        @Override
+        public void onContent(ByteBuf content) {
+            connection.pause();
+        }
+
+        @Override
+        public void onComplete() {
+            assertThat(connection.endpoint().id(), equalTo("e"));
+        }
+
+        @Override
+        public void onInvalidResponse(String cause) {
+            throw new AssertionError(cause);
+        }
+
+        @Override
+        public void onConnectionLost(String cause) {
+            throw new AssertionError(cause);
+        }
+    }
 }
