Detect another response in every body, at a cost in proportion to its bytes

- 504 at their deadline where a late copy without a length, or cut in its body, swallowed the response to their request;
- 200 where a failure without an identifier, other than a refusal, preceded it;
- pauses of the event loop: the detector searched the rest of a body anew for each status line, some 120 ms for 16 KB of them.

ResponseHeadDetector inspects each byte once, in every body, forwarded or skipped, and looks for a line that names the request under way, which no sound body contains. A body that ends inside something like a status line is refused if bytes follow it. A late copy without a length, and a nameless failure on a used connection, end the attempt as one that may have run. A body that ends with its connection is no longer reported as followed by bytes.

--- a/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/endpoint/EndpointConnection.java
+++ b/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/endpoint/EndpointConnection.java
@@ -14,6 +14,7 @@
 import io.netty.handler.codec.http.HttpObject;
 import io.netty.handler.codec.http.HttpRequestEncoder;
 import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpStatusClass;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.LastHttpContent;
@@ -44,7 +45,7 @@
     /** Receives the response, or null while no request is under way. */
     private @Nullable ResponseListener listener;
 
-    /** Inspects the body of the response under way, or null if the body has a length. */
+    /** Inspects the bodies that are received, forwarded or skipped, or null before a request. */
     private @Nullable ResponseHeadDetector headDetector;
 
     /** The identifier of the request under way. */
@@ -154,6 +155,11 @@
                 && idleMillis < Math.min(maximumIdleMillis, keepAliveMillis);
     }
 
+    /** Notices from now on that the endpoint closes the connection or sends anything. */
+    void watch() {
+        connection.startReading();
+    }
+
     /** Records that the connection carries no request from now on. */
     void markIdle() {
         idleSinceMillis = pool.nowMillis();
@@ -183,11 +189,11 @@
             handleHead(head, responseListener);
         }
         if (message instanceof HttpContent content) {
+            if (headDetector != null && headDetector.inspect(content.content())) {
+                failInvalidResponse("body contains another response");
+                return;
+            }
             if (phase == Phase.BODY) {
-                if (headDetector != null && headDetector.inspect(content.content())) {
-                    failInvalidResponse("body contains another response");
-                    return;
-                }
                 responseListener.onContent(content.content());
             }
             if (content instanceof LastHttpContent) {
@@ -198,9 +204,10 @@
 
     /**
      * Handles the head of a response. An interim response and one that names another request are
-     * skipped. So is one that names none, if it is successful or may repeat the response to an
+     * skipped. So is one that names none, if it is successful or may repeat the refusal of an
      * earlier request; the response to this one can still follow. The end of a skipped response is
-     * unknown where its request may have been a HEAD request and this one is none, or the reverse.
+     * unknown where it has no length, or where its request may have been a HEAD request and this
+     * one is none, or the reverse.
      *
      * @param head The head.
      * @param responseListener Receives the response.
@@ -211,29 +218,44 @@
             return;
         }
         ResponseMetadata metadata = dialect.read(head);
+        headDetector = new ResponseHeadDetector(dialect.singleResponseHeaders(), requestId);
         boolean isForeign =
                 metadata.requestId().isPresent()
                         ? !metadata.requestId().get().equals(requestId)
                         : isReused || head.status().codeClass() == HttpStatusClass.SUCCESS;
+        if (isReused && isNamelessFailure(head, metadata)) {
+            failInvalidResponse("response names no request: " + head.status());
+            return;
+        }
         isReusable &= HttpUtil.isKeepAlive(head) && !isForeign && metadata.requestId().isPresent();
         metadata.keepAliveMillis().ifPresent(millis -> keepAliveMillis = millis);
         if (isForeign) {
             phase = Phase.SKIPPED;
             pool.reportUnsolicited(UnsolicitedData.FOREIGN_RESPONSE, this, requestId);
-            if (hasCarriedHead) {
+            if (hasCarriedHead || decoder.framing(head) == BodyFraming.CONNECTION_END) {
                 failInvalidResponse("response to another request, whose end is unknown");
             }
         } else {
             phase = Phase.BODY;
-            BodyFraming framing = decoder.framing(head);
-            headDetector =
-                    framing == BodyFraming.CONNECTION_END
-                            ? new ResponseHeadDetector(pool.responseSyntax())
-                            : null;
-            responseListener.onHead(head, framing, metadata);
+            responseListener.onHead(head, decoder.framing(head), metadata);
         }
     }
 
+    /**
+     * Returns {@code true} for a failure that may be that of the request under way, as no response
+     * to another request comes without its identifier, except a refusal.
+     *
+     * @param head The head.
+     * @param metadata What its headers state.
+     * @return {@code true} if a failure names no request and is no refusal.
+     */
+    private static boolean isNamelessFailure(HttpResponse head, ResponseMetadata metadata) {
+        return metadata.requestId().isEmpty()
+                && head.status().codeClass() != HttpStatusClass.SUCCESS
+                && !metadata.isNotExecuted()
+                && !head.status().equals(HttpResponseStatus.MISDIRECTED_REQUEST);
+    }
+
     /**
      * Handles the end of a response, and releases or closes the connection.
      *
@@ -247,12 +269,16 @@
         if (listener != responseListener) {
             return;
         }
-        listener = null;
         if (connection.hasUndelivered() || !decoder.isBetweenResponses()) {
             isReusable = false;
+            if (headDetector != null && headDetector.isInsideHead()) {
+                failInvalidResponse("body ends inside the head of another response");
+                return;
+            }
             pool.reportUnsolicited(UnsolicitedData.AFTER_RESPONSE, this, requestId);
         }
-        isReusable &= connection.isDrained();
+        listener = null;
+        isReusable &= connection.isDrained() && !connection.isReadingPaused();
         if (isReusable) {
             markIdle();
             pool.release(this);
--- a/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/link/ResponseHeadDetector.java
+++ b/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/link/ResponseHeadDetector.java
@@ -1,73 +1,120 @@
 package io.chicorytrestle.gateway.link;
 
 import io.netty.buffer.ByteBuf;
-import java.nio.charset.StandardCharsets;
-import java.util.regex.Matcher;
+import java.util.Collection;
+import java.util.Locale;
+import java.util.Set;
+import java.util.stream.Collectors;
 
 /**
- * Detects the head of another response in a body that ends with its connection. No length tells
- * such a body from a response that follows it.
+ * Detects in a body the head of another response to the request under way, which shows that the
+ * body was cut or has no length. Each byte is inspected once.
  */
 public final class ResponseHeadDetector {
 
+    /** A status line up to its status code, where {@code #} stands for a digit. */
+    private static final String STATUS_LINE = "HTTP/#.# ###";
+
+    /** The length of the part of a status line that shows that one has begun. */
+    private static final int PROTOCOL_LENGTH = "HTTP/".length();
+
     /** The largest head that is detected, in bytes. */
     private static final int MAXIMUM_HEAD_BYTES = 4_096;
 
-    /** The number of latest bytes in which a status line can have begun. */
-    private static final int MAXIMUM_STATUS_LINE_BYTES = 16;
+    /** The longest line that is compared, in bytes. */
+    private static final int MAXIMUM_LINE_BYTES = 256;
+
+    /** The lines, in lower case, that name the request under way. */
+    private final Set<String> namingLines;
 
-    /** Ends a head. */
-    private static final String BLANK_LINE = "\r\n\r\n";
+    /** The begin of the current line after a status line, in lower case. */
+    private final StringBuilder line = new StringBuilder();
 
-    /** Tells which headers the head of a response has. */
-    private final ResponseSyntax syntax;
+    /** The number of characters of a status line that the latest bytes match. */
+    private int matchedLength;
 
-    /** The latest bytes, from the begin of a status line if there is one. */
-    private final StringBuilder recent = new StringBuilder();
+    /** The number of bytes since a status line, or -1 outside a head. */
+    private int headBytes = -1;
 
     /**
      * Creates a detector for one body.
      *
-     * @param syntax Tells which headers the head of a response has.
+     * @param namingHeaders The headers of which one names the request that a response answers.
+     * @param requestId The identifier of the request under way.
      */
-    public ResponseHeadDetector(ResponseSyntax syntax) {
-        this.syntax = syntax;
+    public ResponseHeadDetector(Collection<String> namingHeaders, String requestId) {
+        namingLines =
+                namingHeaders.stream()
+                        .map(name -> (name + ':' + requestId).toLowerCase(Locale.ROOT))
+                        .collect(Collectors.toSet());
     }
 
     /**
      * Inspects the next part of the body.
      *
      * @param content The part; the reader index is not changed.
-     * @return {@code true} if the body contains the head of another response.
+     * @return {@code true} if the body contains the head of another response to the request.
      */
     public boolean inspect(ByteBuf content) {
-        recent.append(content.toString(StandardCharsets.ISO_8859_1));
-        while (true) {
-            Matcher statusLine = ResponseSyntax.statusLineIn(recent);
-            if (!statusLine.find()) {
-                keepLast(MAXIMUM_STATUS_LINE_BYTES);
-                return false;
-            }
-            int headStart = statusLine.start();
-            int headEnd = recent.indexOf(BLANK_LINE, headStart);
-            String head = recent.substring(headStart, headEnd < 0 ? recent.length() : headEnd);
-            if (syntax.isHead(head)) {
-                return true;
-            }
-            if (headEnd < 0 && head.length() <= MAXIMUM_HEAD_BYTES) {
-                recent.delete(0, headStart);
-                return false;
+        boolean isDetected = false;
+        for (int index = content.readerIndex(); index < content.writerIndex(); index++) {
+            isDetected |= inspect((char) content.getUnsignedByte(index));
+        }
+        return isDetected;
+    }
+
+    /**
+     * Returns whether the body, as far as it was inspected, ends inside something that begins as a
+     * status line does. If bytes follow the body, they are the rest of a response.
+     *
+     * @return {@code true} if a head may have begun.
+     */
+    public boolean isInsideHead() {
+        return headBytes >= 0 || matchedLength >= PROTOCOL_LENGTH;
+    }
+
+    /**
+     * Inspects the next byte.
+     *
+     * @param next The byte.
+     * @return {@code true} if it ends a line that names the request.
+     */
+    private boolean inspect(char next) {
+        matchedLength = isNextOfStatusLine(next) ? matchedLength + 1 : next == 'H' ? 1 : 0;
+        if (matchedLength == STATUS_LINE.length()) {
+            matchedLength = 0;
+            headBytes = 0;
+            line.setLength(0);
+            line.append(STATUS_LINE);
+            return false;
+        }
+        if (headBytes < 0) {
+            return false;
+        }
+        headBytes++;
+        if (next != '\n') {
+            if (next > ' ' && line.length() < MAXIMUM_LINE_BYTES) {
+                line.append(Character.toLowerCase(next));
             }
-            recent.delete(0, statusLine.end());
+            return false;
+        }
+        boolean isNaming = namingLines.contains(line.toString());
+        boolean isHeadEnd = line.length() == 0 || headBytes > MAXIMUM_HEAD_BYTES;
+        line.setLength(0);
+        if (isHeadEnd) {
+            headBytes = -1;
         }
+        return isNaming;
     }
 
     /**
-     * Drops all but the latest bytes.
+     * Returns whether a byte continues the status line that the latest bytes match.
      *
-     * @param size The number of bytes to keep.
+     * @param next The byte.
+     * @return {@code true} if it is the character that follows.
      */
-    private void keepLast(int size) {
-        recent.delete(0, Math.max(0, recent.length() - size));
+    private boolean isNextOfStatusLine(char next) {
+        char expected = STATUS_LINE.charAt(matchedLength);
+        return expected == '#' ? next >= '0' && next <= '9' : next == expected;
     }
 }
--- a/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/link/ResponseSyntax.java
+++ b/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/link/ResponseSyntax.java
@@ -9,9 +9,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
-import java.util.regex.Matcher;
 import java.util.regex.Pattern;
-import java.util.stream.Collectors;
 import java.util.stream.Stream;
 
 /**
@@ -48,9 +46,6 @@
     /** The headers that a response has at most once, and only in its head. */
     private final List<String> singleHeaders;
 
-    /** Finds a header of the deployment at the begin of a line. */
-    private final Pattern deploymentHeader;
-
     /**
      * Creates a syntax.
      *
@@ -61,12 +56,6 @@
         singleHeaders =
                 Stream.concat(STANDARD_SINGLE_HEADERS.stream(), deploymentHeaders.stream())
                         .toList();
-        deploymentHeader =
-                Pattern.compile(
-                        deploymentHeaders.stream()
-                                .map(Pattern::quote)
-                                .collect(Collectors.joining("|", "^(?:", "):")),
-                        Pattern.MULTILINE | Pattern.CASE_INSENSITIVE);
     }
 
     /**
@@ -80,26 +69,6 @@
         return new ResponseSyntax(deploymentHeaders);
     }
 
-    /**
-     * Returns a matcher that finds status lines.
-     *
-     * @param text The text to search.
-     * @return The matcher.
-     */
-    static Matcher statusLineIn(CharSequence text) {
-        return STATUS_LINE.matcher(text);
-    }
-
-    /**
-     * Returns whether a text that begins with a status line is the head of a response.
-     *
-     * @param text The text.
-     * @return {@code true} if a line of it holds a header of the deployment.
-     */
-    boolean isHead(String text) {
-        return deploymentHeader.matcher(text).find();
-    }
-
     /**
      * Finds what is wrong with a head.
      *
--- a/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/link/StrictResponseDecoder.java
+++ b/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/link/StrictResponseDecoder.java
@@ -111,6 +111,15 @@
         }
     }
 
+    @Override
+    protected void decodeLast(ChannelHandlerContext context, ByteBuf buffer, List<Object> out)
+            throws Exception {
+        super.decodeLast(context, buffer, out);
+        if (!out.isEmpty() && out.get(out.size() - 1) instanceof LastHttpContent) {
+            isInResponse = false;
+        }
+    }
+
     /**
      * Marks a part of a response as refused if it has a defect.
      *
