Refuse a request at once when no endpoint is known to come

Cause: RequestHandler holds requests while the instance is not ready to route, which was a published table and at least one endpoint that accepts work. An instance that has received the endpoints, all of which leave or are gone, looks like one that has received none.

Fix: requests are held only until a table and an endpoint, accepting or not, were once known. The listening socket is opened by the same condition.

Weighed: a held request can be served by an endpoint that becomes known within 500 ms. Nothing shows that one is coming: a listed endpoint accepts requests from then on, or is backed off, which has its own time; a replacement that starts before the old endpoint leaves needs no wait; one that comes serves the retry.

--- a/chicorytrestle-core/src/main/java/io/chicorytrestle/core/attempt/RefusalReason.java
+++ b/chicorytrestle-core/src/main/java/io/chicorytrestle/core/attempt/RefusalReason.java
@@ -11,7 +11,10 @@
     /** No routing table is known yet. A process that starts receives one within a second. */
     NO_TABLE(300),
 
-    /** No endpoint of the service is known. Entries that expired reappear within two seconds. */
+    /**
+     * No endpoint of the service accepts requests. Entries that expired reappear within two
+     * seconds, and an endpoint that is replaced starts again within some.
+     */
     NO_ENDPOINT(500),
 
     /**
--- a/chicorytrestle-core/src/main/java/io/chicorytrestle/core/placement/ServingView.java
+++ b/chicorytrestle-core/src/main/java/io/chicorytrestle/core/placement/ServingView.java
@@ -27,6 +27,15 @@
         recentlyJoined = Set.copyOf(recentlyJoined);
     }
 
+    /**
+     * Returns {@code true} if any endpoint is known, whether it accepts work or not.
+     *
+     * @return {@code false} if no service has an endpoint.
+     */
+    public boolean hasEndpoints() {
+        return !endpoints.isEmpty() || !leaving.isEmpty();
+    }
+
     /**
      * Returns the endpoints of a service that may accept work.
      *
--- a/chicorytrestle-core/src/test/java/io/chicorytrestle/core/placement/EndpointDirectoryTest.java
+++ b/chicorytrestle-core/src/test/java/io/chicorytrestle/core/placement/EndpointDirectoryTest.java
@@ -63,6 +63,17 @@
         assertThat(directory.view(11).endpointsOf(Endpoints.SERVICE), empty());
     }
 
+    @Test
+    void testHasEndpointsWhenTheLastOneLeavesAndVanishes() {
+        assertThat(directory.view(0).hasEndpoints(), equalTo(false));
+        directory.put(FIRST, 1);
+        assertThat(directory.view(2).hasEndpoints(), equalTo(true));
+        directory.markLeaving(FIRST.incarnation(), 3);
+        assertThat(directory.view(4).hasEndpoints(), equalTo(true));
+        directory.remove("1", 5);
+        assertThat(directory.view(6).hasEndpoints(), equalTo(false));
+    }
+
     @Test
     void testMarkLeavingWhenPeerReportsBeforeTheStore() {
         directory.replace(List.of(FIRST, SECOND), 0);
--- a/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/Gateway.java
+++ b/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/Gateway.java
@@ -195,9 +195,9 @@
         registerGauges();
     }
 
-    /** Serves callers once requests can be routed. */
+    /** Serves callers once this instance knows whether their requests can be routed. */
     private void handleNewState() {
-        if (context.isReadyToRoute()) {
+        if (!requestHandler.isAwaitingState()) {
             callerServer.resume();
             requestHandler.servePending();
         }
@@ -350,7 +350,7 @@
      * @throws IOException If an address cannot be bound.
      */
     public void run() throws IOException {
-        if (!context.isReadyToRoute()) {
+        if (requestHandler.isAwaitingState()) {
             callerServer.pause();
             reactor.delayBackground(MAXIMUM_START_PAUSE_MILLIS, callerServer::resume);
         }
--- a/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/exchange/GatewayContext.java
+++ b/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/exchange/GatewayContext.java
@@ -205,15 +205,6 @@
         return leavingEndpoints;
     }
 
-    /**
-     * Returns {@code true} if requests can be routed and placed.
-     *
-     * @return {@code true} if a routing table and endpoints are known.
-     */
-    public boolean isReadyToRoute() {
-        return table().isPublished() && !endpoints().endpoints().isEmpty();
-    }
-
     /**
      * Returns the detector of unreachable zones.
      *
--- a/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/exchange/RequestHandler.java
+++ b/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/exchange/RequestHandler.java
@@ -19,7 +19,8 @@
 
 /**
  * Accepts requests, finds their route and workspace, and starts an exchange for each. An instance
- * that has just started holds requests briefly until it receives the routing table.
+ * that has just started holds requests briefly until it receives the routing table and the
+ * endpoints.
  */
 public final class RequestHandler implements HttpRequestHandler {
 
@@ -31,7 +32,7 @@
 
     /**
      * The longest time in milliseconds for which a request is held; a starting instance receives
-     * the routing table in less.
+     * its state in less.
      */
     private static final long MAXIMUM_WAIT_MILLIS = 500;
 
@@ -41,12 +42,17 @@
     /** The state that all requests share. */
     private final GatewayContext context;
 
-    /** The requests that are held until the routing table is received, in order of arrival. */
+    /** The requests that are held until the state is received, in order of arrival. */
     private final Set<PendingRequest> pendingRequests = new LinkedHashSet<>();
 
     /** The requests that are to be routed, and the order in which that happens. */
     private final RequestStarter starter;
 
+    /**
+     * Whether an endpoint was ever known. If so, none that is missing now is about to be received.
+     */
+    private boolean hasKnownEndpoints;
+
     /** Whether requests are refused because the instance is about to exit. */
     private boolean isEnding;
 
@@ -67,9 +73,20 @@
         isEnding = true;
     }
 
-    /** Routes the held requests, if the routing table and endpoints are known now. */
+    /**
+     * Returns {@code true} if this instance has not received what it needs to route requests.
+     *
+     * @return {@code true} until it has known a routing table and an endpoint, whether that accepts
+     *     work or not.
+     */
+    public boolean isAwaitingState() {
+        hasKnownEndpoints |= context.endpoints().hasEndpoints();
+        return !hasKnownEndpoints || !context.table().isPublished();
+    }
+
+    /** Routes the held requests, unless this instance still awaits its state. */
     public void servePending() {
-        if (context.isReadyToRoute()) {
+        if (!isAwaitingState()) {
             List<PendingRequest> waiting = List.copyOf(pendingRequests);
             pendingRequests.clear();
             waiting.forEach(starter::add);
@@ -90,10 +107,10 @@
             return RequestHandler::ignoreDisconnect;
         }
         PendingRequest pending = new PendingRequest(request, head, body, caller, arrivedMillis);
-        if (context.isReadyToRoute()) {
-            starter.add(pending);
+        if (isAwaitingState()) {
+            pending.awaitState();
         } else {
-            pending.awaitRoutingTable();
+            starter.add(pending);
         }
         return pending::onCallerDisconnected;
     }
@@ -200,8 +217,8 @@
             this.arrivedMillis = arrivedMillis;
         }
 
-        /** Holds the request until the routing table is received or the longest wait is over. */
-        private void awaitRoutingTable() {
+        /** Holds the request until the state is received or the longest wait is over. */
+        private void awaitState() {
             long deadlineMillis = request.deadlineMillis().orElse(DEFAULT_DEADLINE_MILLIS);
             long waitMillis =
                     Math.min(MAXIMUM_WAIT_MILLIS, (long) (deadlineMillis * WAIT_DEADLINE_SHARE));
