Let only a success clear the crashes of a request

Cause: RequestCrashHistory.recordResponse took any complete response as proof that the content is harmless, though an endpoint may fail a request before it runs it. On the same path a failure with a body beyond 256 KiB, which is forwarded before it is complete, counted as a success for prompt parts, too.

Now only a successful status clears crashes, whether the body was buffered or forwarded as it arrived.

--- a/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/exchange/Attempt.java
+++ b/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/exchange/Attempt.java
@@ -376,7 +376,7 @@
                             this,
                             Verdict.MAY_HAVE_RUN,
                             "endpoint responded with " + response.status());
-            case STREAM -> exchange.onStreamCompleted(this);
+            case STREAM -> exchange.onStreamCompleted(this, response);
             case BUFFER -> exchange.onResponse(this, response, bufferedBody.toByteArray());
         }
     }
--- a/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/exchange/Exchange.java
+++ b/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/exchange/Exchange.java
@@ -255,9 +255,11 @@
      * Completes a response that was forwarded as it arrived.
      *
      * @param from The attempt that received the response.
+     * @param head The head, which may state a failure with a large body.
      */
-    void onStreamCompleted(Attempt from) {
-        routed.crashHistory().recordResponse(true, context.nowMillis());
+    void onStreamCompleted(Attempt from, HttpResponse head) {
+        boolean isSuccess = head.status().codeClass() == HttpStatusClass.SUCCESS;
+        routed.crashHistory().recordResponse(isSuccess, context.nowMillis());
         end().completeStream();
     }
 
--- a/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/exchange/RequestCrashHistory.java
+++ b/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/exchange/RequestCrashHistory.java
@@ -125,17 +125,17 @@
     }
 
     /**
-     * Records that the request was answered. A failure does not clear its prompt parts, since the
-     * endpoint may not have begun to run it.
+     * Records that the request was answered. Only a success clears crashes: an endpoint may fail a
+     * request before it begins to run it.
      *
      * @param isSuccess Whether the status of the response is a success.
      * @param nowMillis The current time in milliseconds.
      */
     void recordResponse(boolean isSuccess, long nowMillis) {
-        if (isSuccess) {
-            partTracker.recordCompletion(
-                    partTracker.isEmpty() ? List.of() : sharedParts(), nowMillis);
+        if (!isSuccess) {
+            return;
         }
+        partTracker.recordCompletion(partTracker.isEmpty() ? List.of() : sharedParts(), nowMillis);
         if (!tracker.isEmpty()) {
             tracker.recordCompletion(fingerprint(), nowMillis);
         }
