Clear crashes by name, so that late notices clear no others

A notice that a request has completed cleared all crashes that its receiver knew, also those that had happened later, and for three seconds after it the receiver ignored every reported crash of the request.

Crashes and disproved crashes are now sets that only grow, named by the incarnation of the endpoint; a disproof counts for the crashes that it names, for as long as a crash would. A notice gives each crash's age, by which the instance where the request succeeded recognizes crashes before the success. Heartbeats carry this after the fields of earlier versions, which still read and write theirs.

CrashTrackerTest.testQuarantineWhenCompletionNoticeArrivesAfterLaterCrashes and testQuarantineWhenOthersReportCrashesSoonAfterCompletion failed before with "Expected: is <true> but: was <false>".

--- a/chicorytrestle-core/src/test/java/io/chicorytrestle/core/poison/CrashTrackerTest.java
+++ b/chicorytrestle-core/src/test/java/io/chicorytrestle/core/poison/CrashTrackerTest.java
@@ -65,6 +65,52 @@
         assertThat(tracker.isQuarantined("request", 30), is(false));
     }
 
+    /** Guards against a completion that clears crashes which happened after it. */
+    @Test
+    void testQuarantineWhenCompletionNoticeArrivesAfterLaterCrashes() {
+        CrashTracker other = new CrashTracker();
+        other.recordCrash("request", "e0", 0);
+        other.recordCompletion("request", 10);
+        List<CrashNotice> late = other.recentNotices(20);
+
+        tracker.recordCrash("request", "e0", 0);
+        quarantine(1_000);
+        late.forEach(notice -> tracker.recordNotice(notice, 1_010));
+        assertThat(tracker.isQuarantined("request", 1_020), is(true));
+    }
+
+    /** Guards against crashes that are ignored because the request completed shortly before. */
+    @Test
+    void testQuarantineWhenOthersReportCrashesSoonAfterCompletion() {
+        CrashTracker other = new CrashTracker();
+        tracker.recordCrash("request", "e0", 0);
+        tracker.recordCompletion("request", 10);
+        for (int index = 1; index <= 3; index++) {
+            other.recordCrash("request", "e" + index, 100 + index);
+        }
+        for (long nowMillis = 200; nowMillis <= 3_000; nowMillis += 400) {
+            for (CrashNotice notice : other.recentNotices(nowMillis)) {
+                tracker.recordNotice(notice, nowMillis);
+            }
+        }
+        assertThat(tracker.isQuarantined("request", 3_000), is(true));
+    }
+
+    @Test
+    void testQuarantineWhenNoticeOfCrashesBeforeCompletionArrivesAfterIt() {
+        CrashTracker other = new CrashTracker();
+        for (int index = 1; index <= 3; index++) {
+            other.recordCrash("request", "e" + index, index);
+        }
+        List<CrashNotice> late = other.recentNotices(20);
+        tracker.recordCrash("request", "e0", 0);
+        tracker.recordCompletion("request", 30);
+
+        late.forEach(notice -> tracker.recordNotice(notice, 40));
+        late.forEach(notice -> tracker.recordNotice(notice, 9_000));
+        assertThat(tracker.isQuarantined("request", 9_010), is(false));
+    }
+
     @Test
     void testRecentNoticesWhenManyRequestsWereInFlight() {
         for (int index = 0; index < 100; index++) {
--- a/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/fleet/FleetCodec.java
+++ b/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/fleet/FleetCodec.java
@@ -124,11 +124,7 @@
             packer.packFloat((float) outcomes.getValue().failed());
         }
         packStrings(packer, heartbeat.leaving());
-        packer.packArrayHeader(heartbeat.crashes().size());
-        for (CrashNotice crash : heartbeat.crashes()) {
-            packer.packString(crash.fingerprint());
-            packStrings(packer, crash.incarnations());
-        }
+        CrashCodec.pack(packer, heartbeat.crashes());
         packer.packArrayHeader(heartbeat.peers().size());
         for (PeerAddress peer : heartbeat.peers()) {
             pack(packer, peer);
@@ -144,6 +140,7 @@
             packStrings(packer, crash.incarnations());
             packer.packInt(crash.otherCompletions());
         }
+        CrashCodec.packRecords(packer, heartbeat.crashes());
     }
 
     /**
@@ -171,22 +168,22 @@
                     new Outcomes(unpacker.unpackFloat(), unpacker.unpackFloat()));
         }
         List<String> leaving = unpackStrings(unpacker);
-        List<CrashNotice> crashes = new ArrayList<>();
-        for (int remaining = unpacker.unpackArrayHeader(); remaining > 0; remaining--) {
-            crashes.add(new CrashNotice(unpacker.unpackString(), unpackStrings(unpacker)));
-        }
+        List<CrashNotice> crashes = CrashCodec.unpack(unpacker);
         List<PeerAddress> peers = new ArrayList<>();
         for (int remaining = unpacker.unpackArrayHeader(); remaining > 0; remaining--) {
             peers.add(unpackAddress(unpacker));
         }
         Map<String, List<String>> promptReads = new HashMap<>();
-        // Instances of earlier versions end their heartbeats here or before the prompt parts.
+        // Instances of earlier versions end their heartbeats here or after one of the next fields.
         int endpoints = unpacker.hasNext() ? unpacker.unpackMapHeader() : 0;
         for (int remaining = endpoints; remaining > 0; remaining--) {
             promptReads.put(unpacker.unpackString(), unpackStrings(unpacker));
         }
         List<PartCrashNotice> partCrashes =
                 unpacker.hasNext() ? unpackPartCrashes(unpacker) : List.of();
+        if (unpacker.hasNext()) {
+            crashes = CrashCodec.unpackRecords(unpacker);
+        }
         return new Heartbeat(
                 sender,
                 incarnation,
@@ -230,8 +227,7 @@
      * @param strings The strings.
      * @throws IOException Never, since the output is memory.
      */
-    private static void packStrings(MessageBufferPacker packer, List<String> strings)
-            throws IOException {
+    static void packStrings(MessageBufferPacker packer, List<String> strings) throws IOException {
         packer.packArrayHeader(strings.size());
         for (String string : strings) {
             packer.packString(string);
@@ -245,7 +241,7 @@
      * @return The strings.
      * @throws IOException If the message is malformed.
      */
-    private static List<String> unpackStrings(MessageUnpacker unpacker) throws IOException {
+    static List<String> unpackStrings(MessageUnpacker unpacker) throws IOException {
         List<String> strings = new ArrayList<>();
         for (int remaining = unpacker.unpackArrayHeader(); remaining > 0; remaining--) {
             strings.add(unpacker.unpackString());
--- a/chicorytrestle-gateway/src/test/java/io/chicorytrestle/gateway/fleet/FleetCodecTest.java
+++ b/chicorytrestle-gateway/src/test/java/io/chicorytrestle/gateway/fleet/FleetCodecTest.java
@@ -11,6 +11,7 @@
 import io.chicorytrestle.core.poison.PartCrashNotice;
 import java.io.IOException;
 import java.nio.ByteBuffer;
+import java.util.Arrays;
 import java.util.List;
 import java.util.Map;
 import java.util.Random;
@@ -38,7 +39,8 @@
                         List.of("f@2"),
                         List.of(
                                 new CrashNotice("ab12", List.of("e@1")),
-                                new CrashNotice("cd34", List.of())),
+                                new CrashNotice("cd34", List.of()),
+                                new CrashNotice("ef56", Map.of("e@1", 70L), List.of("f@2"))),
                         List.of(new PeerAddress("b", "10.0.0.3:9", "y")),
                         Map.of("e@1", List.of("m/1", "m/2")),
                         List.of(new PartCrashNotice("5c1e", List.of("e@1", "f@2"), 4)));
@@ -46,6 +48,57 @@
         assertThat(FleetCodec.decode(FleetCodec.encode(heartbeat)), equalTo(heartbeat));
     }
 
+    @Test
+    void testDecodeWhenHeartbeatIsOfAnEarlierVersion() throws IOException {
+        byte[] encoded =
+                FleetCodec.encode(
+                        heartbeat(
+                                List.of(
+                                        new CrashNotice("ab12", Map.of("e@1", 0L), List.of()),
+                                        new CrashNotice("cd34", Map.of(), List.of("f@2")))));
+        Heartbeat expected =
+                heartbeat(
+                        List.of(
+                                new CrashNotice("ab12", List.of("e@1")),
+                                new CrashNotice("cd34", List.of())));
+        int recordBytes = 24;
+
+        assertThat(
+                FleetCodec.decode(Arrays.copyOf(encoded, encoded.length - recordBytes)),
+                equalTo(expected));
+        for (int missing = 1; missing < recordBytes; missing++) {
+            byte[] truncated = Arrays.copyOf(encoded, encoded.length - missing);
+            assertThrows(IOException.class, () -> FleetCodec.decode(truncated));
+        }
+    }
+
+    @Test
+    void testDecodeWhenAgeOfCrashIsNegative() {
+        byte[] encoded =
+                FleetCodec.encode(
+                        heartbeat(List.of(new CrashNotice("ab12", Map.of("e@1", 5L), List.of()))));
+        encoded[encoded.length - 2] = -1;
+
+        assertThrows(IOException.class, () -> FleetCodec.decode(encoded));
+    }
+
+    private static Heartbeat heartbeat(List<CrashNotice> crashes) {
+        return new Heartbeat(
+                SENDER,
+                1,
+                1,
+                1,
+                false,
+                StoreContact.FOLLOWING,
+                Map.of(),
+                Map.of(),
+                List.of(),
+                crashes,
+                List.of(),
+                Map.of(),
+                List.of());
+    }
+
     @Test
     void testDecodeWhenPublishedTable() throws IOException {
         PublishedTable published = new PublishedTable("a", ByteBuffer.wrap(new byte[] {1, 2}));
