Tell an instance that starts which requests crash endpoints

Cause: a change of the recorded crashes is in heartbeats for three seconds and never again, so an instance that is not there then never learns of it.

An instance requests one from up to three peers at a time of which it hears for the first time or again; the request states what it knows, so that table and endpoints are left out. The new fields follow those of earlier versions.

--- a/chicorytrestle-core/src/main/java/io/chicorytrestle/core/poison/CrashTracker.java
+++ b/chicorytrestle-core/src/main/java/io/chicorytrestle/core/poison/CrashTracker.java
@@ -47,9 +47,12 @@
      */
     private static final long NOTICE_PERIOD_MILLIS = 3_000;
 
-    /** The maximum number of notices in one heartbeat, which keeps it below a kilobyte. */
+    /** The maximum number of notices in one heartbeat. */
     private static final int MAXIMUM_NOTICES = 8;
 
+    /** The maximum number of records sent to a starting instance, a few kilobytes. */
+    private static final int MAXIMUM_RECORDS = 32;
+
     /**
      * The maximum number of recorded requests: as many as are in flight at a few large endpoints.
      */
@@ -165,6 +168,16 @@
                 nowMillis);
     }
 
+    /**
+     * Returns what another instance that has missed notices, such as one that starts, must know.
+     *
+     * @param nowMillis The current time in milliseconds.
+     * @return The notices, those with the most crashes first.
+     */
+    public List<CrashNotice> records(long nowMillis) {
+        return notices(entry -> true, MAXIMUM_RECORDS, nowMillis);
+    }
+
     /**
      * Returns notices of some requests.
      *
@@ -210,6 +223,17 @@
         }
     }
 
+    /**
+     * Records what another instance knows about a request, without telling others: they have the
+     * same from each other.
+     *
+     * @param known The crashes, which are added to those known here.
+     * @param nowMillis The current time in milliseconds.
+     */
+    public void recordKnown(CrashNotice known, long nowMillis) {
+        record(known, nowMillis);
+    }
+
     /**
      * Adds the crashes and disproved crashes of a notice to those known here.
      *
--- a/chicorytrestle-core/src/main/java/io/chicorytrestle/core/poison/PartCrashNotice.java
+++ b/chicorytrestle-core/src/main/java/io/chicorytrestle/core/poison/PartCrashNotice.java
@@ -10,16 +10,34 @@
  *     completed since.
  * @param otherCompletions The number of requests without the part that completed at one instance
  *     since the first crash, at least zero.
+ * @param ageMillis The time in milliseconds since the last change, at least zero.
  */
-public record PartCrashNotice(String part, List<String> incarnations, int otherCompletions) {
+public record PartCrashNotice(
+        String part, List<String> incarnations, int otherCompletions, long ageMillis) {
 
-    /** Copies the incarnations and rejects a negative number. */
+    /** Copies the incarnations and rejects negative numbers. */
     public PartCrashNotice {
         incarnations = List.copyOf(incarnations);
         if (otherCompletions < 0) {
             throw new IllegalArgumentException(
                     "Number of completions is negative: " + otherCompletions);
         }
+        if (ageMillis < 0) {
+            throw new IllegalArgumentException("Age of a change is negative: " + ageMillis);
+        }
+    }
+
+    /**
+     * Creates a notice of a recent change.
+     *
+     * @param part The identifier of the part.
+     * @param incarnations The incarnations of the endpoints; empty if a request with the part has
+     *     completed since.
+     * @param otherCompletions The number of requests without the part that completed at one
+     *     instance since the first crash, at least zero.
+     */
+    public PartCrashNotice(String part, List<String> incarnations, int otherCompletions) {
+        this(part, incarnations, otherCompletions, 0);
     }
 
     /**
--- a/chicorytrestle-core/src/main/java/io/chicorytrestle/core/poison/PartCrashTracker.java
+++ b/chicorytrestle-core/src/main/java/io/chicorytrestle/core/poison/PartCrashTracker.java
@@ -9,6 +9,8 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.function.Predicate;
+import java.util.function.ToLongFunction;
 import java.util.stream.Collectors;
 
 /**
@@ -47,6 +49,9 @@
     /** The maximum number of notices in one heartbeat, which keeps them below a kilobyte. */
     private static final int MAXIMUM_NOTICES = 16;
 
+    /** The maximum number of records sent to a starting instance, a few kilobytes. */
+    private static final int MAXIMUM_RECORDS = 32;
+
     /** The maximum number of recorded parts. */
     private static final int MAXIMUM_ENTRIES = 1_024;
 
@@ -100,7 +105,7 @@
         }
         if (entry.crashMillis.putIfAbsent(incarnation, nowMillis) == null) {
             entry.isWitnessed |= isWitnessed;
-            entry.changedMillis = nowMillis;
+            entry.changedMillis = Math.max(entry.changedMillis, nowMillis);
         }
     }
 
@@ -247,19 +252,46 @@
      * @return The notices, those with the most crashes first.
      */
     public List<PartCrashNotice> recentNotices(long nowMillis) {
+        return notices(entry -> entry.isNoticeDue(nowMillis), MAXIMUM_NOTICES, entry -> 0L);
+    }
+
+    /**
+     * Returns what another instance that has missed notices, such as one that starts, must know.
+     *
+     * @param nowMillis The current time in milliseconds.
+     * @return The notices with their ages, those with the most crashes first.
+     */
+    public List<PartCrashNotice> records(long nowMillis) {
+        return notices(
+                entry -> !entry.crashMillis.isEmpty() && !entry.isExpired(nowMillis),
+                MAXIMUM_RECORDS,
+                entry -> Math.max(0, nowMillis - entry.changedMillis));
+    }
+
+    /**
+     * Returns notices of some parts.
+     *
+     * @param condition Whether a part is reported.
+     * @param maximum The maximum number of notices.
+     * @param ageMillis Returns the age of an entry's last change in milliseconds.
+     * @return The notices, those with the most crashes first.
+     */
+    private List<PartCrashNotice> notices(
+            Predicate<Entry> condition, int maximum, ToLongFunction<Entry> ageMillis) {
         return entries.entrySet().stream()
-                .filter(entry -> entry.getValue().isNoticeDue(nowMillis))
+                .filter(entry -> condition.test(entry.getValue()))
                 .map(
                         entry ->
                                 new PartCrashNotice(
                                         entry.getKey(),
                                         List.copyOf(entry.getValue().crashMillis.keySet()),
-                                        entry.getValue().otherCompletions(completions)))
+                                        entry.getValue().otherCompletions(completions),
+                                        ageMillis.applyAsLong(entry.getValue())))
                 .sorted(
                         Comparator.comparingInt(
                                         (PartCrashNotice notice) -> notice.incarnations().size())
                                 .reversed())
-                .limit(MAXIMUM_NOTICES)
+                .limit(maximum)
                 .toList();
     }
 
@@ -278,7 +310,7 @@
         Entry entry = entries.get(notice.part());
         if (entry == null || !entry.crashMillis.isEmpty()) {
             for (String incarnation : notice.incarnations()) {
-                recordCrash(notice.part(), incarnation, false, nowMillis);
+                recordCrash(notice.part(), incarnation, false, nowMillis - notice.ageMillis());
             }
             recordOtherCompletions(notice);
         }
@@ -326,7 +358,7 @@
         private boolean isWitnessed;
 
         /** The time of the last change in milliseconds. */
-        private long changedMillis;
+        private long changedMillis = Long.MIN_VALUE / 2;
 
         /**
          * Returns the largest known number of other requests that completed at one instance since
--- a/chicorytrestle-core/src/test/java/io/chicorytrestle/core/poison/CrashTrackerTest.java
+++ b/chicorytrestle-core/src/test/java/io/chicorytrestle/core/poison/CrashTrackerTest.java
@@ -111,6 +111,29 @@
         assertThat(tracker.isQuarantined("request", 9_010), is(false));
     }
 
+    @Test
+    void testRecordsWhenInstanceStartsDuringQuarantine() {
+        quarantine(0);
+        CrashTracker started = new CrashTracker();
+        tracker.records(50_000).forEach(record -> started.recordKnown(record, 50_010));
+
+        assertThat(started.isQuarantined("request", 50_020), is(true));
+        assertThat(started.isQuarantined("request", 60_010), is(false));
+        assertThat(started.recentNotices(50_020), hasSize(0));
+    }
+
+    @Test
+    void testRecordsWhenMoreRequestsAreRecordedThanFit() {
+        for (int index = 0; index < 1_000; index++) {
+            tracker.recordCrash("harmless " + index, "e1", 0);
+        }
+        quarantine(0);
+
+        List<CrashNotice> records = tracker.records(10_000);
+        assertThat(records, hasSize(32));
+        assertThat(records.get(0).fingerprint(), equalTo("request"));
+    }
+
     @Test
     void testRecentNoticesWhenManyRequestsWereInFlight() {
         for (int index = 0; index < 100; index++) {
--- a/chicorytrestle-core/src/test/java/io/chicorytrestle/core/poison/PartCrashTrackerTest.java
+++ b/chicorytrestle-core/src/test/java/io/chicorytrestle/core/poison/PartCrashTrackerTest.java
@@ -101,6 +101,20 @@
         assertThat(tracker.quarantined(100), is(Set.of("dead")));
     }
 
+    @Test
+    void testRecordsWhenInstanceStartsDuringQuarantine() {
+        for (int index = 0; index < 3; index++) {
+            crash("e" + index, 0, "dead");
+        }
+        completeOthers("base");
+        PartCrashTracker started = new PartCrashTracker();
+        tracker.records(500_000).forEach(record -> started.recordNotice(record, 500_010));
+
+        assertThat(started.quarantined(600_010), is(Set.of("dead")));
+        assertThat(started.quarantined(600_011), is(Set.of()));
+        assertThat(started.recentNotices(500_020), hasSize(0));
+    }
+
     @Test
     void testRecentNoticesWhenPartsOfOtherInstancesAreWeakSuspects() {
         tracker.recordNotice(new PartCrashNotice("weak", List.of("e1"), 0), 0);
--- a/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/fleet/CrashCodec.java
+++ b/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/fleet/CrashCodec.java
@@ -1,6 +1,7 @@
 package io.chicorytrestle.gateway.fleet;
 
 import io.chicorytrestle.core.poison.CrashNotice;
+import io.chicorytrestle.core.poison.PartCrashNotice;
 import java.io.IOException;
 import java.util.ArrayList;
 import java.util.HashMap;
@@ -89,6 +90,44 @@
         return notices;
     }
 
+    /**
+     * Writes notices about prompt parts with their ages.
+     *
+     * @param packer Receives the fields.
+     * @param notices The notices.
+     * @throws IOException Never, since the output is memory.
+     */
+    static void packPartRecords(MessageBufferPacker packer, List<PartCrashNotice> notices)
+            throws IOException {
+        packer.packArrayHeader(notices.size());
+        for (PartCrashNotice notice : notices) {
+            packer.packString(notice.part());
+            FleetCodec.packStrings(packer, notice.incarnations());
+            packer.packInt(notice.otherCompletions());
+            packAge(packer, notice.ageMillis());
+        }
+    }
+
+    /**
+     * Reads notices about prompt parts with their ages.
+     *
+     * @param unpacker Supplies the fields.
+     * @return The notices.
+     * @throws IOException If the message is malformed.
+     */
+    static List<PartCrashNotice> unpackPartRecords(MessageUnpacker unpacker) throws IOException {
+        List<PartCrashNotice> notices = new ArrayList<>();
+        for (int remaining = unpacker.unpackArrayHeader(); remaining > 0; remaining--) {
+            notices.add(
+                    new PartCrashNotice(
+                            unpacker.unpackString(),
+                            FleetCodec.unpackStrings(unpacker),
+                            unpacker.unpackInt(),
+                            unpacker.unpackInt()));
+        }
+        return notices;
+    }
+
     /**
      * Writes an age, the largest one that can be read if it is larger.
      *
--- a/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/fleet/FleetChannel.java
+++ b/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/fleet/FleetChannel.java
@@ -6,8 +6,6 @@
 import io.chicorytrestle.core.fleet.ReaderRole;
 import io.chicorytrestle.core.fleet.ReaderSelection;
 import io.chicorytrestle.core.fleet.StoreContact;
-import io.chicorytrestle.core.poison.CrashNotice;
-import io.chicorytrestle.core.poison.PartCrashNotice;
 import io.chicorytrestle.core.route.RoutingTable;
 import io.chicorytrestle.gateway.link.Addresses;
 import io.chicorytrestle.gateway.link.EventLoopLag;
@@ -65,6 +63,12 @@
     /** The observations that are exchanged in heartbeats. */
     private final PeerObservations observations;
 
+    /** The crashes that instances report to each other. */
+    private final CrashExchange crashes;
+
+    /** Creates the snapshots that peers request. */
+    private final SnapshotFactory snapshots;
+
     /** Decodes published routing tables. */
     private final TableCodec codec;
 
@@ -119,6 +123,8 @@
         this.self = self;
         this.fleetState = fleetState;
         this.observations = observations;
+        crashes = new CrashExchange(observations);
+        snapshots = new SnapshotFactory(self.name(), fleetState, observations);
         this.codec = codec;
         Random random = new Random();
         incarnation = random.nextLong();
@@ -341,18 +347,8 @@
         if (message instanceof Heartbeat heartbeat) {
             handle(heartbeat, nowMillis);
         } else if (message instanceof SnapshotRequest request) {
-            byte[] table =
-                    request.knownTableVersion() < fleetState.tableVersion()
-                            ? fleetState.publishedTable()
-                            : new byte[0];
-            connection.send(
-                    FleetCodec.encode(
-                            new Snapshot(
-                                    self.name(),
-                                    ByteBuffer.wrap(table),
-                                    fleetState.endpointRevision(),
-                                    List.copyOf(fleetState.endpoints()))),
-                    nowMillis);
+            Snapshot reply = snapshots.reply(request, nowMillis);
+            connection.send(FleetCodec.encode(reply), nowMillis);
         } else if (message instanceof Snapshot snapshot) {
             handle(snapshot, nowMillis);
         } else if (message instanceof EndpointChanges changes) {
@@ -371,6 +367,7 @@
      */
     private void handle(Heartbeat heartbeat, long nowMillis) {
         if (members.recordHeartbeat(heartbeat, nowMillis)) {
+            crashes.recordFoundPeer(heartbeat.sender().name());
             LOGGER.atInfo()
                     .with(LogFields.PEER, heartbeat.sender().name())
                     .with(LogFields.ADDRESS, heartbeat.sender().address())
@@ -393,10 +390,13 @@
                     .recordPeerOutcomes(heartbeat.sender().name(), heartbeat.outcomes(), nowMillis);
         }
         observations.promptParts().recordPeerReads(heartbeat.promptReads(), nowMillis);
-        recordCrashes(heartbeat, nowMillis);
+        crashes.record(heartbeat, nowMillis);
         for (String leaving : heartbeat.leaving()) {
             fleetState.markLeaving(leaving, heartbeat.sender().name(), nowMillis);
         }
+        if (crashes.shouldAsk(heartbeat.sender().name())) {
+            requestSnapshot(heartbeat.sender(), nowMillis);
+        }
         requestSnapshotIfBehind(heartbeat, nowMillis);
     }
 
@@ -426,27 +426,23 @@
         boolean isDue =
                 nowMillis - behindSinceMillis >= STORE_LAG_TIMEOUT_MILLIS
                         || fleetState.tableVersion() == 0;
-        if (isDue && nowMillis - snapshotRequestedMillis >= SNAPSHOT_INTERVAL_MILLIS) {
-            snapshotRequestedMillis = nowMillis;
-            send(
-                    heartbeat.sender().address(),
-                    FleetCodec.encode(new SnapshotRequest(fleetState.tableVersion())),
-                    nowMillis);
+        if (isDue) {
+            requestSnapshot(heartbeat.sender(), nowMillis);
         }
     }
 
     /**
-     * Records the crashes of endpoints that a heartbeat reports.
+     * Requests a snapshot, unless that was done a moment ago.
      *
-     * @param heartbeat The heartbeat.
+     * @param peer The instance to ask.
      * @param nowMillis The current time in milliseconds.
      */
-    private void recordCrashes(Heartbeat heartbeat, long nowMillis) {
-        for (CrashNotice crash : heartbeat.crashes()) {
-            observations.crashes().recordNotice(crash, nowMillis);
-        }
-        for (PartCrashNotice crash : heartbeat.partCrashes()) {
-            observations.partCrashes().recordNotice(crash, nowMillis);
+    private void requestSnapshot(PeerAddress peer, long nowMillis) {
+        if (nowMillis - snapshotRequestedMillis >= SNAPSHOT_INTERVAL_MILLIS) {
+            snapshotRequestedMillis = nowMillis;
+            SnapshotRequest request =
+                    new SnapshotRequest(fleetState.tableVersion(), fleetState.endpointRevision());
+            send(peer.address(), FleetCodec.encode(request), nowMillis);
         }
     }
 
@@ -457,6 +453,7 @@
      * @param nowMillis The current time in milliseconds.
      */
     private void handle(Snapshot snapshot, long nowMillis) {
+        crashes.record(snapshot, nowMillis);
         if (snapshot.table().hasRemaining()) {
             handle(snapshot.table(), snapshot.sender());
         }
--- a/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/fleet/FleetCodec.java
+++ b/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/fleet/FleetCodec.java
@@ -54,6 +54,7 @@
             } else if (message instanceof SnapshotRequest request) {
                 packer.packInt(SNAPSHOT_REQUEST);
                 packer.packLong(request.knownTableVersion());
+                packer.packLong(request.knownEndpointRevision());
             } else if (message instanceof Snapshot snapshot) {
                 packer.packInt(SNAPSHOT);
                 pack(packer, snapshot);
@@ -85,7 +86,7 @@
             int kind = unpacker.unpackInt();
             return switch (kind) {
                 case HEARTBEAT -> unpackHeartbeat(unpacker);
-                case SNAPSHOT_REQUEST -> new SnapshotRequest(unpacker.unpackLong());
+                case SNAPSHOT_REQUEST -> unpackRequest(unpacker);
                 case SNAPSHOT -> unpackSnapshot(unpacker);
                 case ENDPOINT_CHANGES -> unpackChanges(unpacker);
                 case PUBLISHED_TABLE ->
@@ -286,6 +287,8 @@
         pack(packer, snapshot.table());
         packer.packLong(snapshot.endpointRevision());
         pack(packer, snapshot.endpoints());
+        CrashCodec.packRecords(packer, snapshot.crashes());
+        CrashCodec.packPartRecords(packer, snapshot.partCrashes());
     }
 
     /**
@@ -300,7 +303,26 @@
         ByteBuffer table = unpackBytes(unpacker);
         long endpointRevision = unpacker.unpackLong();
         List<ServingEndpoint> endpoints = unpackEndpoints(unpacker);
-        return new Snapshot(sender, table, endpointRevision, endpoints);
+        // Instances of earlier versions end their snapshots here.
+        List<CrashNotice> crashes =
+                unpacker.hasNext() ? CrashCodec.unpackRecords(unpacker) : List.of();
+        List<PartCrashNotice> partCrashes =
+                unpacker.hasNext() ? CrashCodec.unpackPartRecords(unpacker) : List.of();
+        return new Snapshot(sender, table, endpointRevision, endpoints, crashes, partCrashes);
+    }
+
+    /**
+     * Reads a snapshot request.
+     *
+     * @param unpacker Supplies the fields.
+     * @return The request.
+     * @throws IOException If the message is malformed.
+     */
+    private static SnapshotRequest unpackRequest(MessageUnpacker unpacker) throws IOException {
+        long knownTableVersion = unpacker.unpackLong();
+        // Instances of earlier versions end their requests here.
+        return new SnapshotRequest(
+                knownTableVersion, unpacker.hasNext() ? unpacker.unpackLong() : 0);
     }
 
     /**
--- a/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/fleet/Snapshot.java
+++ b/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/fleet/Snapshot.java
@@ -1,6 +1,8 @@
 package io.chicorytrestle.gateway.fleet;
 
 import io.chicorytrestle.core.placement.ServingEndpoint;
+import io.chicorytrestle.core.poison.CrashNotice;
+import io.chicorytrestle.core.poison.PartCrashNotice;
 import java.nio.ByteBuffer;
 import java.util.List;
 
@@ -13,14 +15,23 @@
  * @param endpointRevision The store's revision of the newest change of endpoints known to the
  *     sender.
  * @param endpoints The endpoints known to the sender.
+ * @param crashes The crashes by request content that the sender has recorded.
+ * @param partCrashes The crashes by prompt part that the sender has recorded.
  */
 public record Snapshot(
-        String sender, ByteBuffer table, long endpointRevision, List<ServingEndpoint> endpoints)
+        String sender,
+        ByteBuffer table,
+        long endpointRevision,
+        List<ServingEndpoint> endpoints,
+        List<CrashNotice> crashes,
+        List<PartCrashNotice> partCrashes)
         implements FleetMessage {
 
-    /** Makes the table read-only and copies the endpoints. */
+    /** Makes the table read-only and copies the lists. */
     public Snapshot {
         table = table.asReadOnlyBuffer();
         endpoints = List.copyOf(endpoints);
+        crashes = List.copyOf(crashes);
+        partCrashes = List.copyOf(partCrashes);
     }
 }
