--- a/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/fleet/FleetCodec.java
+++ b/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/fleet/FleetCodec.java
@@ -54,6 +54,7 @@
             } else if (message instanceof SnapshotRequest request) {
                 packer.packInt(SNAPSHOT_REQUEST);
                 packer.packLong(request.knownTableVersion());
+                packer.packLong(request.knownEndpointRevision());
             } else if (message instanceof Snapshot snapshot) {
                 packer.packInt(SNAPSHOT);
                 pack(packer, snapshot);
@@ -85,7 +86,7 @@
             int kind = unpacker.unpackInt();
             return switch (kind) {
                 case HEARTBEAT -> unpackHeartbeat(unpacker);
-                case SNAPSHOT_REQUEST -> new SnapshotRequest(unpacker.unpackLong());
+                case SNAPSHOT_REQUEST -> unpackRequest(unpacker);
                 case SNAPSHOT -> unpackSnapshot(unpacker);
                 case ENDPOINT_CHANGES -> unpackChanges(unpacker);
                 case PUBLISHED_TABLE ->
@@ -124,11 +125,7 @@
             packer.packFloat((float) outcomes.getValue().failed());
         }
         packStrings(packer, heartbeat.leaving());
-        packer.packArrayHeader(heartbeat.crashes().size());
-        for (CrashNotice crash : heartbeat.crashes()) {
-            packer.packString(crash.fingerprint());
-            packStrings(packer, crash.incarnations());
-        }
+        CrashCodec.pack(packer, heartbeat.crashes());
         packer.packArrayHeader(heartbeat.peers().size());
         for (PeerAddress peer : heartbeat.peers()) {
             pack(packer, peer);
@@ -144,6 +141,7 @@
             packStrings(packer, crash.incarnations());
             packer.packInt(crash.otherCompletions());
         }
+        CrashCodec.packRecords(packer, heartbeat.crashes());
     }
 
     /**
@@ -171,22 +169,22 @@
                     new Outcomes(unpacker.unpackFloat(), unpacker.unpackFloat()));
         }
         List<String> leaving = unpackStrings(unpacker);
-        List<CrashNotice> crashes = new ArrayList<>();
-        for (int remaining = unpacker.unpackArrayHeader(); remaining > 0; remaining--) {
-            crashes.add(new CrashNotice(unpacker.unpackString(), unpackStrings(unpacker)));
-        }
+        List<CrashNotice> crashes = CrashCodec.unpack(unpacker);
         List<PeerAddress> peers = new ArrayList<>();
         for (int remaining = unpacker.unpackArrayHeader(); remaining > 0; remaining--) {
             peers.add(unpackAddress(unpacker));
         }
         Map<String, List<String>> promptReads = new HashMap<>();
-        // Instances of earlier versions end their heartbeats here or before the prompt parts.
+        // Instances of earlier versions end their heartbeats here or after one of the next fields.
         int endpoints = unpacker.hasNext() ? unpacker.unpackMapHeader() : 0;
         for (int remaining = endpoints; remaining > 0; remaining--) {
             promptReads.put(unpacker.unpackString(), unpackStrings(unpacker));
         }
         List<PartCrashNotice> partCrashes =
                 unpacker.hasNext() ? unpackPartCrashes(unpacker) : List.of();
+        if (unpacker.hasNext()) {
+            crashes = CrashCodec.unpackRecords(unpacker);
+        }
         return new Heartbeat(
                 sender,
                 incarnation,
@@ -230,8 +228,7 @@
      * @param strings The strings.
      * @throws IOException Never, since the output is memory.
      */
-    private static void packStrings(MessageBufferPacker packer, List<String> strings)
-            throws IOException {
+    static void packStrings(MessageBufferPacker packer, List<String> strings) throws IOException {
         packer.packArrayHeader(strings.size());
         for (String string : strings) {
             packer.packString(string);
@@ -245,7 +242,7 @@
      * @return The strings.
      * @throws IOException If the message is malformed.
      */
-    private static List<String> unpackStrings(MessageUnpacker unpacker) throws IOException {
+    static List<String> unpackStrings(MessageUnpacker unpacker) throws IOException {
         List<String> strings = new ArrayList<>();
         for (int remaining = unpacker.unpackArrayHeader(); remaining > 0; remaining--) {
             strings.add(unpacker.unpackString());
@@ -290,6 +287,8 @@
         pack(packer, snapshot.table());
         packer.packLong(snapshot.endpointRevision());
         pack(packer, snapshot.endpoints());
+        CrashCodec.packRecords(packer, snapshot.crashes());
+        CrashCodec.packPartRecords(packer, snapshot.partCrashes());
     }
 
     /**
@@ -304,7 +303,26 @@
         ByteBuffer table = unpackBytes(unpacker);
         long endpointRevision = unpacker.unpackLong();
         List<ServingEndpoint> endpoints = unpackEndpoints(unpacker);
-        return new Snapshot(sender, table, endpointRevision, endpoints);
+        // Instances of earlier versions end their snapshots here.
+        List<CrashNotice> crashes =
+                unpacker.hasNext() ? CrashCodec.unpackRecords(unpacker) : List.of();
+        List<PartCrashNotice> partCrashes =
+                unpacker.hasNext() ? CrashCodec.unpackPartRecords(unpacker) : List.of();
+        return new Snapshot(sender, table, endpointRevision, endpoints, crashes, partCrashes);
+    }
+
+    /**
+     * Reads a snapshot request.
+     *
+     * @param unpacker Supplies the fields.
+     * @return The request.
+     * @throws IOException If the message is malformed.
+     */
+    private static SnapshotRequest unpackRequest(MessageUnpacker unpacker) throws IOException {
+        long knownTableVersion = unpacker.unpackLong();
+        // Instances of earlier versions end their requests here.
+        return new SnapshotRequest(
+                knownTableVersion, unpacker.hasNext() ? unpacker.unpackLong() : 0);
     }
 
     /**
