Bound the bytes of an event that is not complete

Callers saw requests of others fail, and operators an instance with twice its memory: an endpoint sent an event stream that never ends an event.

Cause: the splitter kept all bytes after the last complete event, copied them with each read and searched them from their end again, so that the work grew with the square of the bytes and the memory with the bytes.

Now an event has at most 131,072 bytes. Events hold a few tokens, hundreds of bytes, and 32 events of that size are a tenth of the heap of 40 MB. Only new bytes are searched, with what the bytes before end with as a state, and the bytes are kept in segments, so that none are copied. An event beyond the bound ends the attempt as an invalid response: the connection to the endpoint closes, the request may have run, a stream that may be resumed continues at another endpoint, any other is visibly cut.

--- a/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/exchange/EventStreamSplitter.java
+++ b/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/exchange/EventStreamSplitter.java
@@ -1,7 +1,6 @@
 package io.chicorytrestle.gateway.exchange;
 
 import io.netty.buffer.ByteBuf;
-import java.io.ByteArrayOutputStream;
 import java.nio.charset.StandardCharsets;
 import java.util.Optional;
 import java.util.OptionalLong;
@@ -18,8 +17,20 @@
     /** The begin of a line that is no part of an event. */
     private static final String COMMENT_PREFIX = ":";
 
-    /** The bytes of an event that is not complete yet. */
-    private final ByteArrayOutputStream partialEvent = new ByteArrayOutputStream();
+    /**
+     * The largest event in bytes. Events hold a few tokens, hundreds of bytes; 32 events of this
+     * size take a tenth of the heap of an instance.
+     */
+    static final int MAXIMUM_EVENT_BYTES = 131_072;
+
+    /** The bytes of an event that is not complete yet, at most {@link #MAXIMUM_EVENT_BYTES}. */
+    private final SegmentedBuffer partialEvent = new SegmentedBuffer();
+
+    /** What the bytes of the partial event end with. */
+    private Ending ending = Ending.INSIDE_LINE;
+
+    /** Whether an event is too large to be kept. */
+    private boolean isEventTooLarge;
 
     /** Whether no event was complete yet. */
     private boolean isBeforeFirstEvent = true;
@@ -34,7 +45,7 @@
     private Optional<String> lastEventId = Optional.empty();
 
     /**
-     * Adds bytes of the stream.
+     * Adds bytes of the stream. Only these bytes are searched for the end of an event.
      *
      * @param content The bytes, which are consumed.
      * @return The buffered bytes up to the end of the last complete event, possibly none; none if
@@ -43,17 +54,15 @@
     byte[] append(ByteBuf content) {
         byte[] bytes = new byte[content.readableBytes()];
         content.readBytes(bytes);
-        partialEvent.writeBytes(bytes);
-        byte[] buffered = partialEvent.toByteArray();
-        int end = endOfLastEvent(buffered);
+        int end = endOfLastEvent(bytes);
         if (end == 0) {
+            keep(bytes, 0);
             return new byte[0];
         }
         isBeforeFirstEvent = false;
-        partialEvent.reset();
-        partialEvent.write(buffered, end, buffered.length - end);
-        byte[] completeEvents = new byte[end];
-        System.arraycopy(buffered, 0, completeEvents, 0, end);
+        byte[] completeEvents = partialEvent.toByteArrayWith(bytes, end);
+        partialEvent.clear();
+        keep(bytes, end);
         if (isResuming) {
             isResuming = false;
             isRepeating = isRepeated(completeEvents);
@@ -65,9 +74,33 @@
         return completeEvents;
     }
 
+    /**
+     * Keeps the bytes after the last complete event, unless the event is too large.
+     *
+     * @param bytes The bytes that were added.
+     * @param start The offset after the last complete event.
+     */
+    private void keep(byte[] bytes, int start) {
+        if (!isEventTooLarge) {
+            partialEvent.append(bytes, start, bytes.length);
+        }
+    }
+
+    /**
+     * Returns {@code true} if an event is larger than {@link #MAXIMUM_EVENT_BYTES}. The events
+     * before it were returned, and nothing after them can be.
+     *
+     * @return {@code true} if the rest of this run can not be forwarded.
+     */
+    boolean isEventTooLarge() {
+        return isEventTooLarge;
+    }
+
     /** Discards a partial event; the next events come from a run that resumes the stream. */
     void resume() {
-        partialEvent.reset();
+        partialEvent.clear();
+        ending = Ending.INSIDE_LINE;
+        isEventTooLarge = false;
         isResuming = true;
         isRepeating = false;
     }
@@ -130,8 +163,7 @@
      * @return {@code true} if a field follows the last complete event.
      */
     boolean isInsideEvent() {
-        return partialEvent
-                .toString(StandardCharsets.ISO_8859_1)
+        return new String(partialEvent(), StandardCharsets.ISO_8859_1)
                 .lines()
                 .anyMatch(line -> !line.isEmpty() && !line.startsWith(COMMENT_PREFIX));
     }
@@ -142,11 +174,20 @@
      * @return The bytes, possibly none.
      */
     byte[] takeRemainder() {
-        byte[] remainder = partialEvent.toByteArray();
-        partialEvent.reset();
+        byte[] remainder = partialEvent();
+        partialEvent.clear();
         return remainder;
     }
 
+    /**
+     * Returns the bytes that follow the last complete event.
+     *
+     * @return The bytes, possibly none.
+     */
+    private byte[] partialEvent() {
+        return partialEvent.toByteArrayWith(new byte[0], 0);
+    }
+
     /**
      * Returns {@code true} if no event was complete yet.
      *
@@ -166,24 +207,24 @@
     }
 
     /**
-     * Finds the end of the last complete event.
+     * Finds the end of the last complete event, up to the first event that is too large.
      *
-     * @param bytes The buffered bytes.
+     * @param bytes The bytes that follow the partial event.
      * @return The offset after the blank line that ends the event, or zero if there is none.
      */
-    private static int endOfLastEvent(byte[] bytes) {
-        for (int end = bytes.length; end > 1; end--) {
-            if (bytes[end - 1] != '\n') {
-                continue;
-            }
-            boolean isBlankLine =
-                    bytes[end - 2] == '\n'
-                            || (end > 2 && bytes[end - 2] == '\r' && bytes[end - 1 - 2] == '\n');
-            if (isBlankLine) {
-                return end;
+    private int endOfLastEvent(byte[] bytes) {
+        int lastEnd = 0;
+        int start = -partialEvent.size();
+        for (int index = 0; index < bytes.length && !isEventTooLarge; index++) {
+            isEventTooLarge = index - start >= MAXIMUM_EVENT_BYTES;
+            boolean isEnd = !isEventTooLarge && bytes[index] == '\n' && ending.isLineStart();
+            ending = isEnd ? Ending.INSIDE_LINE : ending.next(bytes[index]);
+            if (isEnd) {
+                lastEnd = index + 1;
+                start = lastEnd;
             }
         }
-        return 0;
+        return lastEnd;
     }
 
     /**
@@ -203,4 +244,39 @@
             lastEventId = Optional.of(text.substring(start + ID_FIELD.length(), end).strip());
         }
     }
+
+    /** Enumerates what the bytes of a partial event end with. */
+    private enum Ending {
+
+        /** A part of a line, or nothing. */
+        INSIDE_LINE,
+
+        /** A line feed. */
+        LINE_FEED,
+
+        /** A line feed and a carriage return. */
+        LINE_FEED_AND_CARRIAGE_RETURN;
+
+        /**
+         * Returns {@code true} if a line feed that follows ends a blank line.
+         *
+         * @return {@code true} unless a line has begun.
+         */
+        private boolean isLineStart() {
+            return this != INSIDE_LINE;
+        }
+
+        /**
+         * Returns what the bytes end with after one more.
+         *
+         * @param next The next byte.
+         * @return The new ending.
+         */
+        private Ending next(byte next) {
+            if (next == '\n') {
+                return LINE_FEED;
+            }
+            return next == '\r' && this == LINE_FEED ? LINE_FEED_AND_CARRIAGE_RETURN : INSIDE_LINE;
+        }
+    }
 }
--- a/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/exchange/Exchange.java
+++ b/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/exchange/Exchange.java
@@ -228,6 +228,11 @@
             from.progressMonitor().recordProgress();
         } else if (relay.isRepeating()) {
             from.rejectResponse("response repeats events of the stream");
+            return;
+        }
+        if (relay.isEventTooLarge()) {
+            from.rejectResponse(
+                    "event is larger than " + EventStreamSplitter.MAXIMUM_EVENT_BYTES + " bytes");
         }
     }
 
--- a/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/exchange/ResponseRelay.java
+++ b/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/exchange/ResponseRelay.java
@@ -163,6 +163,15 @@
         return splitter.isRepeating();
     }
 
+    /**
+     * Returns {@code true} if an event of an event stream is too large to be forwarded.
+     *
+     * @return {@code true} if nothing more of this run may be forwarded.
+     */
+    boolean isEventTooLarge() {
+        return splitter.isEventTooLarge();
+    }
+
     /**
      * Returns the type of a response's body.
      *
--- a/chicorytrestle-gateway/src/test/java/io/chicorytrestle/gateway/exchange/EventStreamSplitterTest.java
+++ b/chicorytrestle-gateway/src/test/java/io/chicorytrestle/gateway/exchange/EventStreamSplitterTest.java
@@ -2,6 +2,7 @@
 
 import static org.hamcrest.MatcherAssert.assertThat;
 import static org.hamcrest.Matchers.equalTo;
+import static org.hamcrest.Matchers.lessThanOrEqualTo;
 
 import io.netty.buffer.Unpooled;
 import java.nio.charset.StandardCharsets;
@@ -65,6 +66,21 @@
         assertThat(splitter.takeRemainder().length, equalTo(0));
     }
 
+    /** Guards against a stream without an end of an event, which is kept whole. */
+    @Test
+    void testAppendWhenEventNeverEnds() {
+        assertThat(append("id: 1\n\n"), equalTo("id: 1\n\n"));
+        for (int piece = 0; piece < 20; piece++) {
+            assertThat(append("x".repeat(16_384)), equalTo(""));
+        }
+        assertThat(splitter.isEventTooLarge(), equalTo(true));
+        assertThat(splitter.partialEventBytes(), lessThanOrEqualTo(131_072));
+
+        splitter.resume();
+        assertThat(splitter.isEventTooLarge(), equalTo(false));
+        assertThat(append("id: 2\n\n"), equalTo("id: 2\n\n"));
+    }
+
     private String append(String text) {
         return new String(
                 splitter.append(Unpooled.wrappedBuffer(text.getBytes(StandardCharsets.UTF_8))),
