Wait for the event loop before reading the count of unexpected errors

HttpConnectionTest.testConnectionWhenListenerThrows failed in 3 of 7 runs of the code before this change with "unexpected_errors_total 1" in place of 2: the listener is told of the failure before the error reaches the event loop's handler, which counts it, and the test read the count in between. The test now runs a task of the event loop first, which follows the count. Its assertions are unchanged.

--- a/chicorytrestle-gateway/src/test/java/io/chicorytrestle/gateway/link/HttpConnectionTest.java
+++ b/chicorytrestle-gateway/src/test/java/io/chicorytrestle/gateway/link/HttpConnectionTest.java
@@ -21,6 +21,7 @@
 import java.nio.charset.StandardCharsets;
 import java.util.List;
 import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
 import org.jspecify.annotations.Nullable;
@@ -102,6 +103,10 @@
             }
             assertThat(
                     listener.failures.poll(TIMEOUT_MILLIS, TimeUnit.MILLISECONDS), notNullValue());
+            // The event loop counts an error after the listener was told, before its next task.
+            CompletableFuture<Void> nextTask = new CompletableFuture<>();
+            reactor.execute(() -> nextTask.complete(null));
+            nextTask.get(TIMEOUT_MILLIS, TimeUnit.MILLISECONDS);
         }
     }
 
