Give each connection a bounded share of a turn of the event loop

Callers saw requests without a response for two seconds while endpoints sent chunks of one byte: the loop decoded and delivered all messages of a read, some 2,700 of them, and passed each forwarded piece to the operating system alone.

Now a connection delivers at most 256 messages in one turn of the loop, far more than usual peers send in one read. The rest of the bytes stays undecoded until the next turn and nothing is read before; the orderly end follows all messages. Bytes are decoded in parts of 4,096, which bounds the messages that wait. What is written in one turn goes to the socket in one write at the end of that turn, so that pieces that come slowly are not delayed; closing passes it on first. Delivery that is suspended and resumed within a message no longer recurses. The same holds for callers' connections, the store's and those to endpoints, which all use this class.

--- a/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/link/HttpConnection.java
+++ b/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/link/HttpConnection.java
@@ -2,6 +2,8 @@
 
 import io.activej.bytebuf.ByteBuf;
 import io.activej.net.socket.tcp.ITcpSocket;
+import io.activej.promise.Promise;
+import io.activej.reactor.Reactor;
 import io.netty.buffer.Unpooled;
 import io.netty.buffer.UnpooledByteBufAllocator;
 import io.netty.channel.ChannelHandler;
@@ -9,8 +11,6 @@
 import io.netty.handler.codec.http.HttpObject;
 import io.netty.util.ReferenceCountUtil;
 import java.io.IOException;
-import java.util.ArrayList;
-import java.util.List;
 import org.jspecify.annotations.Nullable;
 
 /**
@@ -26,6 +26,21 @@
     /** The number of undelivered messages from which no more bytes are read. */
     private static final int MAXIMUM_PENDING_MESSAGES = 256;
 
+    /**
+     * The number of messages that are delivered in one turn of the event loop, so that a peer that
+     * sends very small ones leaves time to other connections. Usual peers send fewer in one read.
+     */
+    private static final int MAXIMUM_MESSAGES_PER_TURN = 256;
+
+    /** The number of bytes that are decoded at once, which bounds the messages that they become. */
+    private static final int MAXIMUM_DECODED_BYTES = 4_096;
+
+    /** The received bytes while there are none. */
+    private static final byte[] NO_BYTES = {};
+
+    /** The event loop. */
+    private final Reactor reactor = Reactor.getCurrentReactor();
+
     /** The socket. */
     private final ITcpSocket socket;
 
@@ -38,12 +53,30 @@
     /** Run once when all bytes have been written, or null. */
     private @Nullable Runnable onDrained;
 
-    /** The bytes passed to the socket and not written yet. */
+    /** The bytes received and not decoded yet. */
+    private byte[] received = NO_BYTES;
+
+    /** The number of received bytes that were decoded. */
+    private int decodedBytes;
+
+    /** The encoded messages that are passed to the socket at the end of the turn. */
+    private final OutgoingBytes outgoing = new OutgoingBytes();
+
+    /** The bytes encoded and not written yet. */
     private int unwrittenBytes;
 
     /** Whether a read is in progress. */
     private boolean isReading;
 
+    /** Whether a read has ended. */
+    private boolean hasRead;
+
+    /** Whether received bytes are being decoded and delivered. */
+    private boolean isDelivering;
+
+    /** Whether the delivery goes on in the next turn of the event loop. */
+    private boolean isTurnAwaited;
+
     /** Whether received messages are kept instead of delivered. */
     private boolean isDeliverySuspended;
 
@@ -53,6 +86,12 @@
     /** Whether the peer closed its sending side. */
     private boolean isInputEnded;
 
+    /** Whether the decoder was told that the peer closed its sending side. */
+    private boolean isDecoderFinished;
+
+    /** Whether the listener was told that the peer closed its sending side. */
+    private boolean isEndReported;
+
     /** Whether this side closed the connection or it broke. */
     private boolean isClosed;
 
@@ -86,16 +125,45 @@
 
     /** Reads until the connection ends or {@link #pauseReading()} is called. */
     public void startReading() {
-        if (isReading || isReadingPaused || isInputEnded || isClosed) {
+        if (isReading
+                || isReadingPaused
+                || isInputEnded
+                || isClosed
+                || isDelivering
+                || isTurnAwaited
+                || hasTooManyUndelivered()) {
             return;
         }
         isReading = true;
-        socket.read()
-                .whenComplete(
-                        (buffer, failure) -> {
-                            isReading = false;
-                            failOnUnexpectedError(() -> handleRead(buffer, failure));
-                        });
+        Promise<ByteBuf> read = socket.read();
+        if (read.isComplete() && hasRead) {
+            // The bytes belong to the share of the next turn.
+            reactor.postNext(() -> read.whenComplete(this::completeRead));
+        } else {
+            read.whenComplete(this::completeRead);
+        }
+    }
+
+    /**
+     * Returns {@code true} if the messages that are not delivered yet forbid to read more.
+     *
+     * @return {@code true} if undecoded bytes are left or too many messages are pending.
+     */
+    private boolean hasTooManyUndelivered() {
+        return decodedBytes < received.length
+                || codec.inboundMessages().size() >= MAXIMUM_PENDING_MESSAGES;
+    }
+
+    /**
+     * Ends a read and handles its outcome.
+     *
+     * @param buffer The bytes, or null at the end of the stream.
+     * @param failure The failure, or null if the read succeeded.
+     */
+    private void completeRead(@Nullable ByteBuf buffer, @Nullable Exception failure) {
+        isReading = false;
+        hasRead = true;
+        failOnUnexpectedError(() -> handleRead(buffer, failure));
     }
 
     /**
@@ -138,34 +206,100 @@
         }
         if (buffer == null) {
             isInputEnded = true;
-            codec.finish();
-            deliverMessages();
-            if (!isClosed) {
-                listener.onEndOfStream();
-            }
+        } else {
+            listener.onBytesReceived();
+            received = buffer.asArray();
+            decodedBytes = 0;
+        }
+        deliver();
+    }
+
+    /**
+     * Decodes and delivers what was received, and reads on. What exceeds the share of this turn of
+     * the event loop follows in the next one.
+     */
+    private void deliver() {
+        if (isDelivering || isTurnAwaited || isClosed) {
+            return;
+        }
+        isDelivering = true;
+        boolean isFinished;
+        try {
+            isFinished = deliverShare();
+        } finally {
+            isDelivering = false;
+        }
+        if (isClosed) {
             return;
         }
-        listener.onBytesReceived();
-        codec.writeInbound(Unpooled.wrappedBuffer(buffer.asArray()));
-        deliverMessages();
-        if (codec.inboundMessages().size() < MAXIMUM_PENDING_MESSAGES) {
+        if (!isFinished) {
+            isTurnAwaited = true;
+            reactor.postNext(
+                    () -> {
+                        isTurnAwaited = false;
+                        failOnUnexpectedError(this::deliver);
+                    });
+        } else if (isInputEnded && !isEndReported) {
+            isEndReported = true;
+            listener.onEndOfStream();
+        } else {
             startReading();
         }
     }
 
-    /** Delivers received messages until delivery is suspended or the connection is closed. */
-    private void deliverMessages() {
-        while (!isDeliverySuspended && !isClosed) {
-            HttpObject message = codec.readInbound();
-            if (message == null) {
-                return;
+    /**
+     * Decodes and delivers messages until the share of a turn is used up, delivery is suspended or
+     * the connection is closed.
+     *
+     * @return {@code false} if the share is used up.
+     */
+    private boolean deliverShare() {
+        int messages = 0;
+        while (!isClosed) {
+            if (messages == MAXIMUM_MESSAGES_PER_TURN) {
+                return false;
             }
-            try {
-                listener.onMessage(message);
-            } finally {
-                ReferenceCountUtil.release(message);
+            HttpObject message = isDeliverySuspended ? null : codec.readInbound();
+            if (message != null) {
+                messages++;
+                try {
+                    listener.onMessage(message);
+                } finally {
+                    ReferenceCountUtil.release(message);
+                }
+            } else if (!decode()) {
+                return true;
+            }
+        }
+        return true;
+    }
+
+    /**
+     * Decodes a part of the received bytes, or the end of the stream after all of them.
+     *
+     * @return {@code false} if nothing is left to decode or too many messages are pending.
+     */
+    private boolean decode() {
+        if (codec.inboundMessages().size() >= MAXIMUM_PENDING_MESSAGES) {
+            return false;
+        }
+        if (decodedBytes < received.length) {
+            int length = Math.min(received.length - decodedBytes, MAXIMUM_DECODED_BYTES);
+            io.netty.buffer.ByteBuf part = Unpooled.wrappedBuffer(received, decodedBytes, length);
+            decodedBytes += length;
+            if (decodedBytes == received.length) {
+                received = NO_BYTES;
+                decodedBytes = 0;
             }
+            codec.writeInbound(part);
+            return true;
+        }
+        if (isInputEnded && !isDecoderFinished) {
+            isDecoderFinished = true;
+            codec.finish();
+            return true;
         }
+        return false;
     }
 
     /**
@@ -179,17 +313,16 @@
     /** Resumes delivery, beginning with the messages received in the meantime. */
     public void resumeDelivery() {
         isDeliverySuspended = false;
-        failOnUnexpectedError(this::deliverMessages);
-        startReading();
+        failOnUnexpectedError(this::deliver);
     }
 
     /**
-     * Returns whether decoded messages have not been delivered yet.
+     * Returns whether messages or received bytes have not been delivered yet.
      *
-     * @return {@code true} if at least one decoded message is pending.
+     * @return {@code true} if at least one decoded message or one undecoded byte is pending.
      */
     public boolean hasUndelivered() {
-        return !codec.inboundMessages().isEmpty();
+        return decodedBytes < received.length || !codec.inboundMessages().isEmpty();
     }
 
     /** Stops reading after the read in progress, which applies back-pressure to the peer. */
@@ -204,7 +337,8 @@
     }
 
     /**
-     * Encodes messages and writes them in order. Messages for a closed connection are released.
+     * Encodes messages and writes them in order, together with others of this turn of the event
+     * loop. Messages for a closed connection are released.
      *
      * @param messages The messages, whose ownership passes to this connection.
      */
@@ -216,24 +350,19 @@
             return;
         }
         codec.writeOutbound((Object[]) messages);
-        List<io.netty.buffer.ByteBuf> parts = new ArrayList<>();
-        int length = 0;
-        for (Object part = codec.readOutbound(); part != null; part = codec.readOutbound()) {
-            io.netty.buffer.ByteBuf bytes = (io.netty.buffer.ByteBuf) part;
-            parts.add(bytes);
-            length += bytes.readableBytes();
+        boolean isFirst = outgoing.size() == 0;
+        unwrittenBytes += outgoing.add(codec);
+        if (isFirst && outgoing.size() > 0) {
+            reactor.postLast(this::flush);
         }
-        byte[] joined = new byte[length];
-        int offset = 0;
-        for (io.netty.buffer.ByteBuf part : parts) {
-            int size = part.readableBytes();
-            part.readBytes(joined, offset, size);
-            offset += size;
-            part.release();
+    }
+
+    /** Passes the encoded messages to the socket, unless the connection was closed. */
+    private void flush() {
+        if (!isClosed) {
+            socket.write(outgoing.take())
+                    .whenComplete((ignored, failure) -> handleWritten(failure));
         }
-        unwrittenBytes += length;
-        socket.write(ByteBuf.wrapForReading(joined))
-                .whenComplete((ignored, failure) -> handleWritten(failure));
     }
 
     /**
@@ -250,7 +379,10 @@
             listener.onFailure(failure);
             return;
         }
-        unwrittenBytes = 0;
+        unwrittenBytes = outgoing.size();
+        if (!isDrained()) {
+            return;
+        }
         Runnable waiting = onDrained;
         onDrained = null;
         if (waiting != null) {
@@ -299,6 +431,9 @@
     public void close() {
         if (!isClosed) {
             isClosed = true;
+            if (outgoing.size() > 0) {
+                socket.write(outgoing.take());
+            }
             socket.closeEx(new IOException("Connection was closed locally"));
             codec.releaseInbound();
             codec.releaseOutbound();
