--- a/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/exchange/EventStreamSplitter.java
+++ b/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/exchange/EventStreamSplitter.java
@@ -2,7 +2,6 @@
 
 import io.chicorytrestle.gateway.link.BodyFraming;
 import io.netty.buffer.ByteBuf;
-import java.io.ByteArrayOutputStream;
 import java.nio.charset.StandardCharsets;
 import java.util.Optional;
 
@@ -15,14 +14,26 @@
     /** The begin of a line that is no part of an event. */
     private static final String COMMENT_PREFIX = ":";
 
-    /** The bytes of an event that is not complete yet. */
-    private final ByteArrayOutputStream partialEvent = new ByteArrayOutputStream();
+    /**
+     * The largest event in bytes. Events hold a few tokens, hundreds of bytes; 32 events of this
+     * size take a tenth of the heap of an instance.
+     */
+    static final int MAXIMUM_EVENT_BYTES = 131_072;
+
+    /** The bytes of an event that is not complete yet, at most {@link #MAXIMUM_EVENT_BYTES}. */
+    private final SegmentedBuffer partialEvent = new SegmentedBuffer();
+
+    /** What the bytes of the partial event end with. */
+    private Ending ending = Ending.INSIDE_LINE;
+
+    /** Whether an event is too large to be kept. */
+    private boolean isEventTooLarge;
 
     /** Follows the complete events. */
     private final EventSequence sequence = new EventSequence();
 
     /**
-     * Adds bytes of the stream.
+     * Adds bytes of the stream. Only these bytes are searched for the end of an event.
      *
      * @param content The bytes, which are consumed.
      * @return The buffered bytes up to the end of the last complete event, possibly none; none if
@@ -31,25 +42,47 @@
     byte[] append(ByteBuf content) {
         byte[] bytes = new byte[content.readableBytes()];
         content.readBytes(bytes);
-        partialEvent.writeBytes(bytes);
-        byte[] buffered = partialEvent.toByteArray();
-        int end = endOfLastEvent(buffered);
+        int end = endOfLastEvent(bytes);
         if (end == 0) {
+            keep(bytes, 0);
             return new byte[0];
         }
-        partialEvent.reset();
-        partialEvent.write(buffered, end, buffered.length - end);
-        byte[] completeEvents = new byte[end];
-        System.arraycopy(buffered, 0, completeEvents, 0, end);
+        byte[] completeEvents = partialEvent.toByteArrayWith(bytes, end);
+        partialEvent.clear();
+        keep(bytes, end);
         boolean isContinued =
                 sequence.append(new String(completeEvents, StandardCharsets.ISO_8859_1));
         return isContinued ? completeEvents : new byte[0];
     }
 
+    /**
+     * Keeps the bytes after the last complete event, unless the event is too large.
+     *
+     * @param bytes The bytes that were added.
+     * @param start The offset after the last complete event.
+     */
+    private void keep(byte[] bytes, int start) {
+        if (!isEventTooLarge) {
+            partialEvent.append(bytes, start, bytes.length);
+        }
+    }
+
+    /**
+     * Returns {@code true} if an event is larger than {@link #MAXIMUM_EVENT_BYTES}. The events
+     * before it were returned, and nothing after them can be.
+     *
+     * @return {@code true} if the rest of this run can not be forwarded.
+     */
+    boolean isEventTooLarge() {
+        return isEventTooLarge;
+    }
+
     /** Discards a partial event; the next events come from a run that resumes the stream. */
     void resume() {
         sequence.resume(isInsideEvent());
-        partialEvent.reset();
+        partialEvent.clear();
+        ending = Ending.INSIDE_LINE;
+        isEventTooLarge = false;
     }
 
     /**
@@ -95,8 +128,7 @@
      * @return {@code true} if a field follows the last complete event.
      */
     boolean isInsideEvent() {
-        return partialEvent
-                .toString(StandardCharsets.ISO_8859_1)
+        return new String(partialEvent(), StandardCharsets.ISO_8859_1)
                 .lines()
                 .anyMatch(line -> !line.isEmpty() && !line.startsWith(COMMENT_PREFIX));
     }
@@ -107,11 +139,20 @@
      * @return The bytes, possibly none.
      */
     byte[] takeRemainder() {
-        byte[] remainder = partialEvent.toByteArray();
-        partialEvent.reset();
+        byte[] remainder = partialEvent();
+        partialEvent.clear();
         return remainder;
     }
 
+    /**
+     * Returns the bytes that follow the last complete event.
+     *
+     * @return The bytes, possibly none.
+     */
+    private byte[] partialEvent() {
+        return partialEvent.toByteArrayWith(new byte[0], 0);
+    }
+
     /**
      * Returns {@code true} if the stream cannot be complete where its current run ends now.
      *
@@ -132,23 +173,58 @@
     }
 
     /**
-     * Finds the end of the last complete event.
+     * Finds the end of the last complete event, up to the first event that is too large.
      *
-     * @param bytes The buffered bytes.
+     * @param bytes The bytes that follow the partial event.
      * @return The offset after the blank line that ends the event, or zero if there is none.
      */
-    private static int endOfLastEvent(byte[] bytes) {
-        for (int end = bytes.length; end > 1; end--) {
-            if (bytes[end - 1] != '\n') {
-                continue;
+    private int endOfLastEvent(byte[] bytes) {
+        int lastEnd = 0;
+        int start = -partialEvent.size();
+        for (int index = 0; index < bytes.length && !isEventTooLarge; index++) {
+            isEventTooLarge = index - start >= MAXIMUM_EVENT_BYTES;
+            boolean isEnd = !isEventTooLarge && bytes[index] == '\n' && ending.isLineStart();
+            ending = isEnd ? Ending.INSIDE_LINE : ending.next(bytes[index]);
+            if (isEnd) {
+                lastEnd = index + 1;
+                start = lastEnd;
             }
-            boolean isBlankLine =
-                    bytes[end - 2] == '\n'
-                            || (end > 2 && bytes[end - 2] == '\r' && bytes[end - 1 - 2] == '\n');
-            if (isBlankLine) {
-                return end;
+        }
+        return lastEnd;
+    }
+
+    /** Enumerates what the bytes of a partial event end with. */
+    private enum Ending {
+
+        /** A part of a line, or nothing. */
+        INSIDE_LINE,
+
+        /** A line feed. */
+        LINE_FEED,
+
+        /** A line feed and a carriage return. */
+        LINE_FEED_AND_CARRIAGE_RETURN;
+
+        /**
+         * Returns {@code true} if a line feed that follows ends a blank line.
+         *
+         * @return {@code true} unless a line has begun.
+         */
+        private boolean isLineStart() {
+            return this != INSIDE_LINE;
+        }
+
+        /**
+         * Returns what the bytes end with after one more.
+         *
+         * @param next The next byte.
+         * @return The new ending.
+         */
+        private Ending next(byte next) {
+            if (next == '\n') {
+                return LINE_FEED;
             }
+            return next == '\r' && this == LINE_FEED ? LINE_FEED_AND_CARRIAGE_RETURN : INSIDE_LINE;
         }
-        return 0;
     }
 }
--- a/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/exchange/Exchange.java
+++ b/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/exchange/Exchange.java
@@ -232,8 +232,13 @@
             if (!relay.canResume()) {
                 attempts.forbidRetries();
             }
-        } else {
-            relay.discontinuity().ifPresent(reason -> from.rejectResponse(reason.description()));
+        } else if (relay.discontinuity().isPresent()) {
+            from.rejectResponse(relay.discontinuity().get().description());
+            return;
+        }
+        if (relay.isEventTooLarge()) {
+            from.rejectResponse(
+                    "event is larger than " + EventStreamSplitter.MAXIMUM_EVENT_BYTES + " bytes");
         }
     }
 
--- a/chicorytrestle-gateway/src/test/java/io/chicorytrestle/gateway/link/HttpConnectionTest.java
+++ b/chicorytrestle-gateway/src/test/java/io/chicorytrestle/gateway/link/HttpConnectionTest.java
@@ -112,6 +112,10 @@
             }
             assertThat(
                     listener.failures.poll(TIMEOUT_MILLIS, TimeUnit.MILLISECONDS), notNullValue());
+            // The event loop counts an error after the listener was told, before its next task.
+            CompletableFuture<Void> nextTask = new CompletableFuture<>();
+            reactor.execute(() -> nextTask.complete(null));
+            nextTask.get(TIMEOUT_MILLIS, TimeUnit.MILLISECONDS);
         }
     }
 
