Forget marks of leaving endpoints ten minutes after they were listed

The marks of incarnations that are leaving were kept for as long as the process runs, one for each endpoint that ever left. They are now kept for ten minutes after the entry was last listed or the mark last reported, far longer than an endpoint serves once it leaves; for as long as the entry is listed the mark stays.

Evidence: EndpointDirectoryTest.testIsLeavingWhenAnIncarnationWasNotListedForLong failed before with "Expected: <false> but: was <true>". EndpointDirectoryTest, FleetStateTest and LeavingEndpointTest pass. Memory was not measured.

--- a/chicorytrestle-core/src/main/java/io/chicorytrestle/core/placement/EndpointDirectory.java
+++ b/chicorytrestle-core/src/main/java/io/chicorytrestle/core/placement/EndpointDirectory.java
@@ -30,6 +30,12 @@
      */
     private static final long WARM_UP_MILLIS = 10_000;
 
+    /**
+     * The time in milliseconds for which it is remembered that an incarnation is leaving after its
+     * entry was last listed, far longer than an endpoint serves once it leaves.
+     */
+    private static final long LEAVING_MEMORY_MILLIS = 600_000;
+
     /**
      * The time in milliseconds at which each incarnation joined endpoints that were already listed.
      */
@@ -41,8 +47,11 @@
     /** The endpoints whose entries vanished, by identifier. */
     private final Map<String, VanishedEndpoint> vanished = new HashMap<>();
 
-    /** The incarnations that accept no more work, also those whose entries are gone. */
-    private final Set<String> leavingIncarnations = new HashSet<>();
+    /**
+     * The incarnations that accept no more work, also those whose entries are gone, and the time in
+     * milliseconds at which each was last reported or listed.
+     */
+    private final Map<String, Long> leavingIncarnations = new HashMap<>();
 
     /**
      * The time in milliseconds for which a vanished endpoint may still be used as a last resort.
@@ -94,10 +103,10 @@
      */
     public Optional<Change> put(ServingEndpoint endpoint, long nowMillis) {
         if (endpoint.isLeaving()) {
-            leavingIncarnations.add(endpoint.incarnation());
+            leavingIncarnations.put(endpoint.incarnation(), nowMillis);
         }
         ServingEndpoint current =
-                leavingIncarnations.contains(endpoint.incarnation())
+                leavingIncarnations.containsKey(endpoint.incarnation())
                         ? endpoint.asLeaving()
                         : endpoint;
         boolean hasOthers = !listedEndpoints.isEmpty() && !vanished.containsKey(endpoint.id());
@@ -147,7 +156,7 @@
      *     one that vanished lately.
      */
     public Optional<Change> markLeaving(String incarnation, long nowMillis) {
-        if (!leavingIncarnations.add(incarnation)) {
+        if (leavingIncarnations.put(incarnation, nowMillis) != null) {
             return Optional.empty();
         }
         for (VanishedEndpoint entry : vanished.values()) {
@@ -169,7 +178,7 @@
      * @return {@code true} if it was marked as leaving, listed or not.
      */
     public boolean isLeaving(String incarnation) {
-        return leavingIncarnations.contains(incarnation);
+        return leavingIncarnations.containsKey(incarnation);
     }
 
     /**
@@ -182,7 +191,7 @@
                         listedEndpoints.values().stream(),
                         vanished.values().stream().map(VanishedEndpoint::endpoint))
                 .map(ServingEndpoint::incarnation)
-                .filter(leavingIncarnations::contains)
+                .filter(leavingIncarnations::containsKey)
                 .toList();
     }
 
@@ -217,6 +226,11 @@
         joinTimes.values().removeIf(sinceMillis -> nowMillis - sinceMillis >= WARM_UP_MILLIS);
         List<ServingEndpoint> leavingEndpoints =
                 listedEndpoints.values().stream().filter(ServingEndpoint::isLeaving).toList();
+        leavingEndpoints.forEach(
+                endpoint -> leavingIncarnations.put(endpoint.incarnation(), nowMillis));
+        leavingIncarnations
+                .values()
+                .removeIf(sinceMillis -> nowMillis - sinceMillis >= LEAVING_MEMORY_MILLIS);
         return new ServingView(ready, leavingEndpoints, joinTimes.keySet());
     }
 
@@ -228,7 +242,7 @@
     private void addVanished(Map<String, List<ServingEndpoint>> ready) {
         Map<String, List<ServingEndpoint>> vanishedByService = new HashMap<>();
         for (VanishedEndpoint entry : vanished.values()) {
-            if (!leavingIncarnations.contains(entry.endpoint().incarnation())) {
+            if (!leavingIncarnations.containsKey(entry.endpoint().incarnation())) {
                 vanishedByService
                         .computeIfAbsent(entry.endpoint().service(), ignored -> new ArrayList<>())
                         .add(entry.endpoint());
--- a/chicorytrestle-core/src/test/java/io/chicorytrestle/core/placement/EndpointDirectoryTest.java
+++ b/chicorytrestle-core/src/test/java/io/chicorytrestle/core/placement/EndpointDirectoryTest.java
@@ -102,6 +102,26 @@
         assertThat(directory.view(6).endpointsOf(Endpoints.SERVICE), contains(next, SECOND));
     }
 
+    /**
+     * Guards against marks of leaving incarnations that pile up in a process that runs for long.
+     */
+    @Test
+    void testIsLeavingWhenAnIncarnationWasNotListedForLong() {
+        directory.replace(List.of(FIRST, SECOND), 0);
+        directory.markLeaving(FIRST.incarnation(), 0);
+        directory.markLeaving(SECOND.incarnation(), 0);
+        directory.markLeaving(THIRD.incarnation(), 0);
+        directory.view(500_000);
+        directory.remove("1", 500_000);
+        directory.view(1_099_999);
+        assertThat(directory.isLeaving(FIRST.incarnation()), equalTo(true));
+        directory.view(1_100_000);
+
+        assertThat(directory.isLeaving(FIRST.incarnation()), equalTo(false));
+        assertThat(directory.isLeaving(SECOND.incarnation()), equalTo(true));
+        assertThat(directory.isLeaving(THIRD.incarnation()), equalTo(false));
+    }
+
     @Test
     void testViewWhenEndpointJoinsOthers() {
         directory.replace(List.of(FIRST), 0);
