Bound what is skipped and discarded of an endpoint's bytes

- At most 16 responses and 1 MiB of bodies are skipped while a response is awaited; beyond, the attempt ends as one that may have run.
- The body of a response of the store is at most 4 MiB, twice the largest page.

--- a/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/endpoint/EndpointConnection.java
+++ b/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/endpoint/EndpointConnection.java
@@ -27,6 +27,12 @@
  */
 public final class EndpointConnection implements HttpConnection.Listener {
 
+    /** The number of responses that are skipped while one is awaited. */
+    private static final int MAXIMUM_SKIPPED_RESPONSES = 16;
+
+    /** The number of bytes of bodies that are skipped while a response is awaited. */
+    private static final long MAXIMUM_SKIPPED_BYTES = 1_048_576;
+
     /** The endpoint. */
     private final ServingEndpoint endpoint;
 
@@ -54,6 +60,12 @@
     /** How the response under way is handled. */
     private Phase phase = Phase.HEAD;
 
+    /** The responses that were skipped since the request under way was sent. */
+    private int skippedResponses;
+
+    /** The bytes of bodies that were skipped since the request under way was sent. */
+    private long skippedBytes;
+
     /** Whether the connection may be used for another request. */
     private boolean isReusable = true;
 
@@ -114,6 +126,8 @@
         isReused = !requestId.isEmpty();
         requestId = id;
         phase = Phase.HEAD;
+        skippedResponses = 0;
+        skippedBytes = 0;
         boolean isHead = request.method().equals(HttpMethod.HEAD);
         hasCarriedHead |= isHead;
         decoder.setHeadRequest(isHead);
@@ -195,6 +209,13 @@
             }
             if (phase == Phase.BODY) {
                 responseListener.onContent(content.content());
+            } else {
+                skippedBytes += content.content().readableBytes();
+            }
+            if (skippedBytes > MAXIMUM_SKIPPED_BYTES
+                    || skippedResponses > MAXIMUM_SKIPPED_RESPONSES) {
+                failInvalidResponse("too much precedes the response");
+                return;
             }
             if (content instanceof LastHttpContent) {
                 handleEnd(responseListener);
@@ -215,6 +236,7 @@
     private void handleHead(HttpResponse head, ResponseListener responseListener) {
         if (head.status().codeClass() == HttpStatusClass.INFORMATIONAL) {
             phase = Phase.SKIPPED;
+            skippedResponses++;
             return;
         }
         ResponseMetadata metadata = dialect.read(head);
@@ -231,6 +253,7 @@
         metadata.keepAliveMillis().ifPresent(millis -> keepAliveMillis = millis);
         if (isForeign) {
             phase = Phase.SKIPPED;
+            skippedResponses++;
             pool.reportUnsolicited(UnsolicitedData.FOREIGN_RESPONSE, this, requestId);
             if (hasCarriedHead || decoder.framing(head) == BodyFraming.CONNECTION_END) {
                 failInvalidResponse("response to another request, whose end is unknown");
--- a/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/exchange/Attempt.java
+++ b/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/exchange/Attempt.java
@@ -45,6 +45,9 @@
     /** The body of a response that is forwarded only once it is complete. */
     private final ByteArrayOutputStream bufferedBody = new ByteArrayOutputStream(0);
 
+    /** The bytes of a body that no caller receives. */
+    private long discardedBytes;
+
     /** The connection, or null before it is established. */
     private @Nullable EndpointConnection connection;
 
@@ -333,6 +336,12 @@
                         this, io.netty.buffer.Unpooled.wrappedBuffer(bufferedBody.toByteArray()));
                 bufferedBody.reset();
             }
+        } else {
+            discardedBytes += content.readableBytes();
+            if (discardedBytes > MAXIMUM_BUFFERED_BYTES && connection != null) {
+                connection.cancel();
+                onComplete();
+            }
         }
     }
 
--- a/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/link/PooledHttpClient.java
+++ b/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/link/PooledHttpClient.java
@@ -37,6 +37,9 @@
     /** The connect time-out in milliseconds, long enough for two SYN packets. */
     private static final long CONNECT_TIMEOUT_MILLIS = 1_200;
 
+    /** The largest body of a response in bytes. */
+    static final int MAXIMUM_BODY_BYTES = 4_194_304;
+
     /** The options of each socket: Nagle's algorithm is off. */
     private static final SocketSettings SOCKET_SETTINGS =
             SocketSettings.builder().withTcpNoDelay(true).build();
@@ -261,6 +264,14 @@
                 isKeepAlive = HttpUtil.isKeepAlive(head);
             }
             if (message instanceof HttpContent content) {
+                if (responseBody.size() + content.content().readableBytes() > MAXIMUM_BODY_BYTES) {
+                    onFailure(
+                            new IOException(
+                                    "Response body is larger than "
+                                            + MAXIMUM_BODY_BYTES
+                                            + " bytes"));
+                    return;
+                }
                 byte[] bytes = new byte[content.content().readableBytes()];
                 content.content().readBytes(bytes);
                 responseBody.writeBytes(bytes);
--- a/chicorytrestle-gateway/src/test/java/io/chicorytrestle/gateway/link/PooledHttpClientTest.java
+++ b/chicorytrestle-gateway/src/test/java/io/chicorytrestle/gateway/link/PooledHttpClientTest.java
@@ -1,6 +1,7 @@
 package io.chicorytrestle.gateway.link;
 
 import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.containsString;
 import static org.hamcrest.Matchers.endsWith;
 import static org.hamcrest.Matchers.equalTo;
 
@@ -118,6 +119,18 @@
         }
     }
 
+    /** Guards against a body that is kept until the memory runs out. */
+    @Test
+    void testGetWhenTheBodyIsTooLarge() throws Exception {
+        responses.add(response("b".repeat(PooledHttpClient.MAXIMUM_BODY_BYTES + 1)));
+
+        try {
+            assertThat("Expected a refusal, got " + get(), false);
+        } catch (ExecutionException exception) {
+            assertThat(exception.toString(), containsString("Response body is larger than"));
+        }
+    }
+
     private static String response(String body) {
         return "HTTP/1.1 200 OK\r\nContent-Length: " + body.length() + "\r\n\r\n" + body;
     }
