Let the caller of the picker state which endpoints are eligible

A set of excluded incarnations could express only that an endpoint was tried. Regions that a route allows and endpoints that accept few requests while they are cold are conditions on the endpoint itself, so the picker now takes a predicate. No behaviour changes; EndpointPickerTest passes unchanged but for the form of the argument.

--- a/chicorytrestle-core/src/main/java/io/chicorytrestle/core/placement/EndpointPicker.java
+++ b/chicorytrestle-core/src/main/java/io/chicorytrestle/core/placement/EndpointPicker.java
@@ -89,19 +89,20 @@
      * @param view The known endpoints.
      * @param service The name of the service.
      * @param prompt The prompt, or empty for a plain request.
-     * @param excluded The incarnations that must not be chosen, such as those already tried.
+     * @param isEligible The condition that an endpoint must meet to be chosen, such as not having
+     *     been tried.
      * @param nowMillis The current time in milliseconds.
-     * @return The placement, or empty if all endpoints are excluded or asked for no requests.
+     * @return The placement, or empty if no endpoint is eligible or all that are asked for no
+     *     requests.
      */
     public Optional<Placement> pick(
             ServingView view,
             String service,
             Optional<Prompt> prompt,
-            Set<String> excluded,
+            Predicate<ServingEndpoint> isEligible,
             long nowMillis) {
         List<ServingEndpoint> ready = backoffs.openOf(view.endpointsOf(service), nowMillis);
-        List<ServingEndpoint> allowed =
-                filter(ready, endpoint -> !excluded.contains(endpoint.incarnation()));
+        List<ServingEndpoint> allowed = filter(ready, isEligible);
         if (allowed.isEmpty()) {
             return Optional.empty();
         }
--- a/chicorytrestle-core/src/test/java/io/chicorytrestle/core/placement/EndpointPickerTest.java
+++ b/chicorytrestle-core/src/test/java/io/chicorytrestle/core/placement/EndpointPickerTest.java
@@ -62,7 +62,7 @@
                                         VIEW,
                                         Endpoints.SERVICE,
                                         Optional.of(Endpoints.prompt("chat")),
-                                        Set.of(),
+                                        endpoint -> true,
                                         0)
                                 .get()
                                 .endpoint()));
@@ -81,7 +81,7 @@
                                 VIEW,
                                 Endpoints.SERVICE,
                                 Optional.of(Endpoints.prompt("chat")),
-                                Set.of(),
+                                endpoint -> true,
                                 0)
                         .isPresent(),
                 is(false));
@@ -117,7 +117,7 @@
                                 VIEW,
                                 Endpoints.SERVICE,
                                 Optional.of(Endpoints.prompt("chat")),
-                                Set.of(),
+                                endpoint -> true,
                                 2_100)
                         .get();
 
@@ -175,7 +175,12 @@
                                     new PromptPart("own", 100)));
 
             Placement placement =
-                    picker.pick(VIEW, Endpoints.SERVICE, Optional.of(longStream), Set.of(), 0)
+                    picker.pick(
+                                    VIEW,
+                                    Endpoints.SERVICE,
+                                    Optional.of(longStream),
+                                    endpoint -> true,
+                                    0)
                             .get();
             ServingEndpoint zoneIndependentHome =
                     RANKING.home(
@@ -197,7 +202,7 @@
         loadTracker.recordReport(FIRST.incarnation(), 40, 0);
 
         Placement placement =
-                picker.pick(VIEW, Endpoints.SERVICE, Optional.empty(), Set.of(), 0).get();
+                picker.pick(VIEW, Endpoints.SERVICE, Optional.empty(), endpoint -> true, 0).get();
 
         assertThat(placement.endpoint(), is(not(FIRST)));
         assertThat(placement.reason(), equalTo(PlacementReason.LEAST_LOADED));
@@ -212,7 +217,7 @@
         }
 
         assertThat(
-                picker.pick(VIEW, Endpoints.SERVICE, Optional.empty(), Set.of(), 0)
+                picker.pick(VIEW, Endpoints.SERVICE, Optional.empty(), endpoint -> true, 0)
                         .get()
                         .endpoint(),
                 is(not(FIRST)));
@@ -241,13 +246,22 @@
         Set<String> tried = Set.of(FIRST.incarnation(), SECOND.incarnation(), THIRD.incarnation());
 
         assertThat(
-                picker.pick(VIEW, Endpoints.SERVICE, Optional.empty(), tried, 0),
+                picker.pick(
+                        VIEW,
+                        Endpoints.SERVICE,
+                        Optional.empty(),
+                        endpoint -> !tried.contains(endpoint.incarnation()),
+                        0),
                 equalTo(Optional.empty()));
     }
 
     private Placement pick(ServingView view, String shared) {
         return picker.pick(
-                        view, Endpoints.SERVICE, Optional.of(Endpoints.prompt(shared)), Set.of(), 0)
+                        view,
+                        Endpoints.SERVICE,
+                        Optional.of(Endpoints.prompt(shared)),
+                        endpoint -> true,
+                        0)
                 .get();
     }
 }
--- a/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/exchange/Exchange.java
+++ b/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/exchange/Exchange.java
@@ -116,7 +116,7 @@
                                 context.endpoints(),
                                 routed.service(),
                                 routed.prompt(),
-                                triedIncarnations,
+                                endpoint -> !triedIncarnations.contains(endpoint.incarnation()),
                                 context.nowMillis());
         if (chosen.isEmpty()) {
             if (relay.isStarted()) {
