End a body in chunks only at the last byte of its last chunk

Cause: the library's decoder ends the size of a chunk at any control character. After a cut behind the carriage return of the last size, the status line of the 500 is read as a part of the line with the size, its headers as trailers, of which the library drops the length, and its blank line as the end of the body.

Change: ChunkSyntax inspects the framing of a body in chunks before the library does, each byte once; bytes before the first malformed one are still delivered.

--- a/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/link/ResponseSyntax.java
+++ b/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/link/ResponseSyntax.java
@@ -145,7 +145,7 @@
      * @param text The part.
      * @return {@code true} if another response begins in it.
      */
-    private static boolean containsStatusLine(String text) {
+    static boolean containsStatusLine(String text) {
         return text.contains(PROTOCOL) && STATUS_LINE.matcher(text).find();
     }
 }
--- a/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/link/StrictResponseDecoder.java
+++ b/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/link/StrictResponseDecoder.java
@@ -3,6 +3,7 @@
 import io.netty.buffer.ByteBuf;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.handler.codec.DecoderResult;
+import io.netty.handler.codec.http.DefaultLastHttpContent;
 import io.netty.handler.codec.http.HttpDecoderConfig;
 import io.netty.handler.codec.http.HttpMessage;
 import io.netty.handler.codec.http.HttpObject;
@@ -33,6 +34,18 @@
     /** Detects headers of the current response that use obsolete line folding. */
     private final FoldedLineDetector foldedLines = new FoldedLineDetector();
 
+    /** Detects framing of a body in chunks that the library reads leniently. */
+    private final ChunkSyntax chunkSyntax = new ChunkSyntax();
+
+    /** The number of undecoded bytes of a body in chunks whose framing is well-formed. */
+    private int inspectedBytes;
+
+    /** Whether the body of the current response is in chunks. */
+    private boolean isChunked;
+
+    /** Whether the framing of the current body is malformed after the inspected bytes. */
+    private boolean isMalformed;
+
     /** Whether the next response answers a HEAD request. */
     private boolean isHeadRequest;
 
@@ -95,22 +108,63 @@
             foldedLines.inspect(buffer);
         }
         int sizeBefore = out.size();
-        super.decode(context, buffer, out);
+        if (isChunked) {
+            decodeChunks(context, buffer, out);
+        } else {
+            super.decode(context, buffer, out);
+        }
         for (Object decoded : out.subList(sizeBefore, out.size())) {
             if (decoded instanceof HttpResponse head) {
                 isInBody = true;
+                isChunked = framing(head) == BodyFraming.CHUNKED;
                 check(head, findDefect(head));
             }
             if (decoded instanceof LastHttpContent last) {
                 check(last, syntax.findDefect(last.trailingHeaders()));
                 isInResponse = false;
                 isInBody = false;
+                isChunked = false;
+                isMalformed = false;
                 hasTwoLengths = false;
                 foldedLines.reset();
+                chunkSyntax.reset();
+                inspectedBytes = 0;
             }
         }
     }
 
+    /**
+     * Decodes the next part of a body in chunks, up to the first byte whose framing is malformed.
+     *
+     * @param context The context of this handler.
+     * @param buffer The undecoded bytes, which are skipped once the body was refused.
+     * @param out Receives the decoded parts, and a refused end after the last one.
+     * @throws Exception If the library fails to decode the part.
+     */
+    private void decodeChunks(ChannelHandlerContext context, ByteBuf buffer, List<Object> out)
+            throws Exception {
+        int writerIndex = buffer.writerIndex();
+        if (!isMalformed) {
+            int end = chunkSyntax.inspect(buffer, buffer.readerIndex() + inspectedBytes);
+            inspectedBytes = end - buffer.readerIndex();
+            isMalformed = end < writerIndex;
+        }
+        int readerIndex = buffer.readerIndex();
+        int sizeBefore = out.size();
+        buffer.writerIndex(readerIndex + inspectedBytes);
+        super.decode(context, buffer, out);
+        buffer.writerIndex(writerIndex);
+        inspectedBytes -= buffer.readerIndex() - readerIndex;
+        boolean isExhausted = out.size() == sizeBefore && buffer.readerIndex() == readerIndex;
+        if (isMalformed && isExhausted) {
+            buffer.skipBytes(buffer.readableBytes());
+            inspectedBytes = 0;
+            LastHttpContent end = new DefaultLastHttpContent();
+            check(end, Optional.of("framing of chunks is malformed"));
+            out.add(end);
+        }
+    }
+
     @Override
     protected void decodeLast(ChannelHandlerContext context, ByteBuf buffer, List<Object> out)
             throws Exception {
--- a/chicorytrestle-gateway/src/test/java/io/chicorytrestle/gateway/link/StrictResponseDecoderTest.java
+++ b/chicorytrestle-gateway/src/test/java/io/chicorytrestle/gateway/link/StrictResponseDecoderTest.java
@@ -59,6 +59,31 @@
         assertThat(decoded.completed(), equalTo(0));
     }
 
+    /** Guards against a body whose framing is completed by a failure without a name. */
+    @Property(tries = TRIES, seed = "47")
+    void testDecodeWhenANamelessFailureFollowsACutBody(@ForAll Random random) {
+        String extension = random.nextBoolean() ? "" : " ;a=\"b\"";
+        String sound =
+                response("r1", "HTTP/1.1 200 OK", "body", true)
+                        .replace("4\r\nbody", "4" + extension + "\r\nbody")
+                        .replace(LAST_CHUNK, "0" + extension + "\r\nX-A: b\r\n\r\n");
+        int bodyStart = sound.indexOf("\r\n\r\n") + 4;
+        int dataStart = sound.indexOf("body");
+        int cut = bodyStart + random.nextInt(sound.length() - bodyStart);
+        boolean isInsideData = cut >= dataStart && cut < dataStart + 4;
+        String failure = "HTTP/1.1 500 Internal Server Error\r\n";
+        String framing =
+                random.nextBoolean()
+                        ? "Content-Length: 0\r\n\r\n"
+                        : "Transfer-Encoding: chunked\r\n\r\n" + LAST_CHUNK;
+
+        assertThat(decode(sound, random).completed(), equalTo(1));
+        Decoded decoded = decode(sound.substring(0, cut) + failure + framing, random);
+
+        assertThat(sound.substring(bodyStart, cut), decoded.completed(), equalTo(0));
+        assertThat(decoded.isRefused() || isInsideData, is(true));
+    }
+
     /** Guards against a sound response that is refused or changed by the sizes of its pieces. */
     @Property(tries = TRIES, seed = "38")
     void testDecodeWhenTheResponseIsSound(
