Send few requests to endpoints that are cold

Nothing read how long an endpoint stays cold.

It is on where the settings hold the bound and the service has a warm-up.

--- a/chicorytrestle-core/src/main/java/io/chicorytrestle/core/attempt/RefusalReason.java
+++ b/chicorytrestle-core/src/main/java/io/chicorytrestle/core/attempt/RefusalReason.java
@@ -29,6 +29,12 @@
     /** All endpoints asked this instance to send them nothing for some time. */
     BACKED_OFF(200),
 
+    /**
+     * All endpoints of the service have just started and accept only a few requests, of which this
+     * instance has no part left. Another instance may have.
+     */
+    COLD(250),
+
     /** The deadline passed before the request was sent. */
     DEADLINE(0),
 
--- a/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/Gateway.java
+++ b/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/Gateway.java
@@ -6,12 +6,15 @@
 import io.chicorytrestle.core.blackboard.Blackboard;
 import io.chicorytrestle.core.blackboard.Controller;
 import io.chicorytrestle.core.limit.RetryAllowance;
+import io.chicorytrestle.core.placement.ColdStartBound;
+import io.chicorytrestle.core.placement.ColdStartGate;
 import io.chicorytrestle.core.placement.PlacementSettings;
 import io.chicorytrestle.core.placement.PlacementTopics;
 import io.chicorytrestle.core.process.SignalHandlers;
 import io.chicorytrestle.core.route.RequestLimits;
 import io.chicorytrestle.core.route.RouteTopics;
 import io.chicorytrestle.gateway.dialect.HeaderDialect;
+import io.chicorytrestle.gateway.exchange.ColdStarts;
 import io.chicorytrestle.gateway.exchange.GatewayContext;
 import io.chicorytrestle.gateway.exchange.LeavingEndpoints;
 import io.chicorytrestle.gateway.exchange.RequestHandler;
@@ -35,6 +38,7 @@
 import java.net.InetSocketAddress;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Supplier;
 
@@ -192,9 +196,29 @@
                         context.observations(),
                         codec);
         registerControllers();
+        settings.coldStartBound().ifPresent(this::limitColdStarts);
         registerGauges();
     }
 
+    /**
+     * Limits the requests to endpoints that are cold.
+     *
+     * @param bound The bound for all instances together.
+     */
+    private void limitColdStarts(ColdStartBound bound) {
+        ColdStartGate gate =
+                new ColdStartGate(
+                        settings.instanceName(),
+                        bound,
+                        fleetState.coldEndpoints(),
+                        Set.of(settings.peerAddress()).containsAll(settings.seeds()),
+                        context.nowMillis());
+        ColdStarts.ForGate coldStarts =
+                new ColdStarts.ForGate(context, gate, fleetState.coldEndpoints(), metrics);
+        context.setColdStarts(coldStarts);
+        controllers.add(nowMillis -> coldStarts.step(fleet.peerNames(), nowMillis));
+    }
+
     /** Serves callers once this instance knows whether their requests can be routed. */
     private void handleNewState() {
         if (!requestHandler.isAwaitingState()) {
--- a/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/document/JsonFields.java
+++ b/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/document/JsonFields.java
@@ -9,6 +9,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalDouble;
 import java.util.OptionalLong;
 
 /**
@@ -146,6 +147,17 @@
         return values.get(name) == null ? OptionalLong.empty() : OptionalLong.of(integer(name));
     }
 
+    /**
+     * Reads an optional number.
+     *
+     * @param name The name of the field.
+     * @return The number, or empty if the field is missing.
+     * @throws MalformedDocumentException If the field is of another type.
+     */
+    public OptionalDouble optionalNumber(String name) throws MalformedDocumentException {
+        return values.get(name) == null ? OptionalDouble.empty() : OptionalDouble.of(number(name));
+    }
+
     /**
      * Reads an optional boolean.
      *
--- a/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/exchange/Attempt.java
+++ b/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/exchange/Attempt.java
@@ -180,6 +180,11 @@
             endUnsent("endpoint asked for no requests while connecting");
             return;
         }
+        if (!context.coldStarts().trySend(endpoint(), context.nowMillis())) {
+            context.endpointConnections().giveBack(acquired);
+            endUnsent("endpoint is cold and got its requests while connecting");
+            return;
+        }
         connection = acquired;
         isSent = true;
         exchange.onSent(this);
--- a/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/exchange/Exchange.java
+++ b/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/exchange/Exchange.java
@@ -5,6 +5,7 @@
 import io.chicorytrestle.core.attempt.NextStep;
 import io.chicorytrestle.core.attempt.RefusalReason;
 import io.chicorytrestle.core.placement.Placement;
+import io.chicorytrestle.core.placement.ServingEndpoint;
 import io.chicorytrestle.core.verdict.Verdict;
 import io.chicorytrestle.gateway.front.ResponseSink;
 import io.chicorytrestle.gateway.link.BodyFraming;
@@ -12,6 +13,7 @@
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpStatusClass;
 import java.util.HashSet;
+import java.util.List;
 import java.util.Optional;
 import java.util.Set;
 import org.jspecify.annotations.Nullable;
@@ -116,7 +118,10 @@
                                 context.endpoints(),
                                 routed.service(),
                                 routed.prompt(),
-                                endpoint -> !triedIncarnations.contains(endpoint.incarnation()),
+                                endpoint ->
+                                        !triedIncarnations.contains(endpoint.incarnation())
+                                                && context.coldStarts()
+                                                        .isOpen(endpoint, context.nowMillis()),
                                 context.nowMillis());
         if (chosen.isEmpty()) {
             if (relay.isStarted()) {
@@ -357,19 +362,18 @@
 
     /**
      * Refuses a request that has not run. If all endpoints of its service want no requests, that is
-     * the reason, and the caller is told when the first one is open again.
+     * the reason, and the caller is told when the first one is open again; so is if all are cold.
      *
      * @param reason Why the request is refused otherwise.
      */
     private void refuse(RefusalReason reason) {
-        long closedMillis =
-                context.backoffs()
-                        .millisUntilOpen(
-                                context.endpoints().endpointsOf(routed.service()),
-                                context.nowMillis())
-                        .orElse(0);
+        List<ServingEndpoint> endpoints = context.endpoints().endpointsOf(routed.service());
+        long nowMillis = context.nowMillis();
+        long closedMillis = context.backoffs().millisUntilOpen(endpoints, nowMillis).orElse(0);
+        RefusalReason openReason =
+                context.coldStarts().areAllCold(endpoints, nowMillis) ? RefusalReason.COLD : reason;
         end().refuse(
-                        closedMillis > 0 ? RefusalReason.BACKED_OFF : reason,
+                        closedMillis > 0 ? RefusalReason.BACKED_OFF : openReason,
                         closedMillis,
                         remainingMillis());
     }
--- a/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/exchange/GatewayContext.java
+++ b/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/exchange/GatewayContext.java
@@ -91,6 +91,9 @@
     /** Knows which endpoints are leaving. */
     private LeavingEndpoints leavingEndpoints = LeavingEndpoints.NoOp.INSTANCE;
 
+    /** Decides which requests may be sent to cold endpoints. */
+    private ColdStarts coldStarts = ColdStarts.NoOp.INSTANCE;
+
     /** The requests under way. */
     private final Set<Exchange> exchanges = new HashSet<>();
 
@@ -203,6 +206,24 @@
         return leavingEndpoints;
     }
 
+    /**
+     * Sets what decides which requests may be sent to cold endpoints.
+     *
+     * @param coldStarts Decides on each endpoint.
+     */
+    public void setColdStarts(ColdStarts coldStarts) {
+        this.coldStarts = coldStarts;
+    }
+
+    /**
+     * Returns what decides which requests may be sent to cold endpoints.
+     *
+     * @return Decides on each endpoint.
+     */
+    ColdStarts coldStarts() {
+        return coldStarts;
+    }
+
     /**
      * Returns the detector of unreachable zones.
      *
--- a/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/fleet/FleetChannel.java
+++ b/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/fleet/FleetChannel.java
@@ -268,6 +268,15 @@
         return members.size();
     }
 
+    /**
+     * Returns the names of the known other instances.
+     *
+     * @return The names, also of instances that are currently unreachable.
+     */
+    public List<String> peerNames() {
+        return members.names();
+    }
+
     /**
      * Removes expired peers and sends a heartbeat to the next targets.
      *
@@ -457,6 +466,7 @@
         if (snapshot.table().hasRemaining()) {
             handle(snapshot.table(), snapshot.sender());
         }
+        fleetState.recordCold(snapshot.coldReports(), nowMillis);
         fleetState.applyFromPeer(
                 snapshot.endpoints(), snapshot.endpointRevision(), snapshot.sender(), nowMillis);
     }
--- a/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/fleet/FleetCodec.java
+++ b/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/fleet/FleetCodec.java
@@ -289,6 +289,7 @@
         pack(packer, snapshot.endpoints());
         CrashCodec.packRecords(packer, snapshot.crashes());
         CrashCodec.packPartRecords(packer, snapshot.partCrashes());
+        ColdReportCodec.pack(packer, snapshot.coldReports());
     }
 
     /**
@@ -308,7 +309,14 @@
                 unpacker.hasNext() ? CrashCodec.unpackRecords(unpacker) : List.of();
         List<PartCrashNotice> partCrashes =
                 unpacker.hasNext() ? CrashCodec.unpackPartRecords(unpacker) : List.of();
-        return new Snapshot(sender, table, endpointRevision, endpoints, crashes, partCrashes);
+        return new Snapshot(
+                sender,
+                table,
+                endpointRevision,
+                endpoints,
+                crashes,
+                partCrashes,
+                ColdReportCodec.unpack(unpacker));
     }
 
     /**
@@ -364,6 +372,7 @@
         packer.packLong(changes.revision());
         pack(packer, changes.changed());
         packStrings(packer, changes.removed());
+        ColdReportCodec.pack(packer, changes.coldReports());
     }
 
     /**
@@ -379,7 +388,8 @@
         long revision = unpacker.unpackLong();
         List<ServingEndpoint> changed = unpackEndpoints(unpacker);
         List<String> removed = unpackStrings(unpacker);
-        return new EndpointChanges(sender, baseRevision, revision, changed, removed);
+        return new EndpointChanges(
+                sender, baseRevision, revision, changed, removed, ColdReportCodec.unpack(unpacker));
     }
 
     /**
--- a/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/fleet/FleetMembership.java
+++ b/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/fleet/FleetMembership.java
@@ -303,6 +303,15 @@
                 .toList();
     }
 
+    /**
+     * Returns the names of the known other instances.
+     *
+     * @return The names, also of instances that are unreachable.
+     */
+    List<String> names() {
+        return members.values().stream().map(member -> member.peer().name()).toList();
+    }
+
     /**
      * Returns the addresses of the reachable other instances.
      *
--- a/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/fleet/FleetState.java
+++ b/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/fleet/FleetState.java
@@ -3,6 +3,8 @@
 import com.google.common.flogger.FluentLogger;
 import io.chicorytrestle.core.blackboard.Blackboard;
 import io.chicorytrestle.core.blackboard.Controller;
+import io.chicorytrestle.core.placement.ColdEndpoints;
+import io.chicorytrestle.core.placement.ColdReport;
 import io.chicorytrestle.core.placement.EndpointDirectory;
 import io.chicorytrestle.core.placement.PlacementTopics;
 import io.chicorytrestle.core.placement.ServingEndpoint;
@@ -31,9 +33,15 @@
     /** The endpoints, including vanished ones that may still serve. */
     private final EndpointDirectory directory;
 
+    /** Estimates until when endpoints are cold. */
+    private final ColdEndpoints coldEndpoints = new ColdEndpoints();
+
     /** Called with each incarnation that accepts no more requests. */
     private final Consumer<String> unavailableListener;
 
+    /** Whether endpoints were ever listed. */
+    private boolean hasListed;
+
     /** The store's revision of the newest known change of endpoints. */
     private long endpointRevision;
 
@@ -167,6 +175,7 @@
      * @param nowMillis The current time in milliseconds.
      */
     public void applyFromPeer(EndpointChanges changes, long nowMillis) {
+        recordCold(changes.coldReports(), nowMillis);
         boolean isContiguous =
                 changes.baseRevision() <= endpointRevision && changes.revision() > endpointRevision;
         if (!isContiguous) {
@@ -239,8 +248,29 @@
         return directory.all();
     }
 
+    /**
+     * Records what entries state of how long their endpoints are cold. Must be called before the
+     * endpoints themselves are applied, so that none is used before it is known to be cold.
+     *
+     * @param reports The reports, each ordered by the revision of its entry.
+     * @param nowMillis The current time in milliseconds.
+     */
+    public void recordCold(List<ColdReport> reports, long nowMillis) {
+        reports.forEach(report -> coldEndpoints.record(report, nowMillis));
+    }
+
+    /**
+     * Returns the estimate of which endpoints are cold.
+     *
+     * @return The estimate, to which reports are added.
+     */
+    public ColdEndpoints coldEndpoints() {
+        return coldEndpoints;
+    }
+
     @Override
     public void step(long nowMillis) {
+        coldEndpoints.removeExpired(directory.all(), nowMillis);
         refreshServingView(nowMillis);
     }
 
@@ -254,6 +284,7 @@
      */
     private void publish(List<EndpointDirectory.Change> changes, String source, long nowMillis) {
         for (EndpointDirectory.Change change : changes) {
+            coldEndpoints.recordListed(change.endpoint().incarnation(), !hasListed, nowMillis);
             LOGGER.atInfo()
                     .with(LogFields.ENDPOINT, change.endpoint().incarnation())
                     .with(LogFields.ADDRESS, change.endpoint().address())
@@ -266,6 +297,7 @@
             }
         }
         if (!changes.isEmpty()) {
+            hasListed = true;
             refreshServingView(nowMillis);
         }
     }
--- a/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/fleet/Snapshot.java
+++ b/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/fleet/Snapshot.java
@@ -1,5 +1,6 @@
 package io.chicorytrestle.gateway.fleet;
 
+import io.chicorytrestle.core.placement.ColdReport;
 import io.chicorytrestle.core.placement.ServingEndpoint;
 import io.chicorytrestle.core.poison.CrashNotice;
 import io.chicorytrestle.core.poison.PartCrashNotice;
@@ -17,6 +18,7 @@
  * @param endpoints The endpoints known to the sender.
  * @param crashes The crashes by request content that the sender has recorded.
  * @param partCrashes The crashes by prompt part that the sender has recorded.
+ * @param coldReports What entries stated of how long their endpoints are cold, with the time left.
  */
 public record Snapshot(
         String sender,
@@ -24,7 +26,8 @@
         long endpointRevision,
         List<ServingEndpoint> endpoints,
         List<CrashNotice> crashes,
-        List<PartCrashNotice> partCrashes)
+        List<PartCrashNotice> partCrashes,
+        List<ColdReport> coldReports)
         implements FleetMessage {
 
     /** Makes the table read-only and copies the lists. */
@@ -33,5 +36,26 @@
         endpoints = List.copyOf(endpoints);
         crashes = List.copyOf(crashes);
         partCrashes = List.copyOf(partCrashes);
+        coldReports = List.copyOf(coldReports);
+    }
+
+    /**
+     * Creates a snapshot whose endpoints' entries stated nothing of being cold.
+     *
+     * @param sender The name of the instance.
+     * @param table The encoded routing table as it was published, or empty.
+     * @param endpointRevision The store's revision of the newest change of endpoints.
+     * @param endpoints The endpoints known to the sender.
+     * @param crashes The crashes by request content that the sender has recorded.
+     * @param partCrashes The crashes by prompt part that the sender has recorded.
+     */
+    public Snapshot(
+            String sender,
+            ByteBuffer table,
+            long endpointRevision,
+            List<ServingEndpoint> endpoints,
+            List<CrashNotice> crashes,
+            List<PartCrashNotice> partCrashes) {
+        this(sender, table, endpointRevision, endpoints, crashes, partCrashes, List.of());
     }
 }
--- a/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/settings/GatewaySettings.java
+++ b/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/settings/GatewaySettings.java
@@ -1,6 +1,8 @@
 package io.chicorytrestle.gateway.settings;
 
+import io.chicorytrestle.core.placement.ColdStartBound;
 import java.util.List;
+import java.util.Optional;
 
 /**
  * The validated settings of a gateway instance.
@@ -19,6 +21,8 @@
  * @param retryRatio The retry budget as a fraction of requests, fleet-wide.
  * @param retrySlack The retries allowed beyond that fraction, fleet-wide and per window.
  * @param loadMultiple The bound on an endpoint's load, as a multiple of the mean load.
+ * @param coldStartBound The bound on requests to cold endpoints, fleet-wide, or empty if there is
+ *     none.
  */
 public record GatewaySettings(
         String instanceName,
@@ -33,7 +37,8 @@
         long drainMillis,
         double retryRatio,
         double retrySlack,
-        double loadMultiple) {
+        double loadMultiple,
+        Optional<ColdStartBound> coldStartBound) {
 
     /** Makes an immutable copy of the seeds. */
     public GatewaySettings {
--- a/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/settings/SettingsParser.java
+++ b/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/settings/SettingsParser.java
@@ -1,11 +1,13 @@
 package io.chicorytrestle.gateway.settings;
 
+import io.chicorytrestle.core.placement.ColdStartBound;
 import io.chicorytrestle.gateway.document.JsonFields;
 import io.chicorytrestle.gateway.document.MalformedDocumentException;
 import io.chicorytrestle.gateway.link.Addresses;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 
 /** Parses and validates the settings, and reports all faults together. */
 public final class SettingsParser {
@@ -66,7 +68,8 @@
                         (long) requiredNumber("drain_ms", 0),
                         requiredNumber("retry_ratio", 0),
                         requiredNumber("retry_slack", 0),
-                        requiredNumber("load_multiple", 1));
+                        requiredNumber("load_multiple", 1),
+                        optionalColdStartBound());
         if (!faults.isEmpty()) {
             throw new InvalidSettingsException(faults);
         }
@@ -136,6 +139,21 @@
         return addresses;
     }
 
+    /**
+     * Reads the bound on requests to cold endpoints, whose two settings are present together.
+     *
+     * @return The bound, or empty if neither setting is present.
+     */
+    private Optional<ColdStartBound> optionalColdStartBound() {
+        if (values.get("cold_start_overage") == null && values.get("cold_start_slack") == null) {
+            return Optional.empty();
+        }
+        return Optional.of(
+                new ColdStartBound(
+                        requiredNumber("cold_start_overage", 0),
+                        requiredNumber("cold_start_slack", 0)));
+    }
+
     /**
      * Reads a required number.
      *
--- a/chicorytrestle-gateway/src/test/java/io/chicorytrestle/gateway/fleet/FleetCodecTest.java
+++ b/chicorytrestle-gateway/src/test/java/io/chicorytrestle/gateway/fleet/FleetCodecTest.java
@@ -5,6 +5,7 @@
 import static org.junit.jupiter.api.Assertions.assertThrows;
 
 import io.chicorytrestle.core.fleet.StoreContact;
+import io.chicorytrestle.core.placement.ColdReport;
 import io.chicorytrestle.core.placement.Outcomes;
 import io.chicorytrestle.core.placement.ServingEndpoint;
 import io.chicorytrestle.core.poison.CrashNotice;
@@ -122,7 +123,8 @@
                         9,
                         List.of(ENDPOINT),
                         List.of(new CrashNotice("ab12", Map.of("e@1", 70L), List.of("f@2"))),
-                        List.of(new PartCrashNotice("5c1e", List.of("e@1"), 4, 90)));
+                        List.of(new PartCrashNotice("5c1e", List.of("e@1"), 4, 90)),
+                        List.of(new ColdReport("e@1", 8, 2_500)));
 
         assertThat(FleetCodec.decode(FleetCodec.encode(snapshot)), equalTo(snapshot));
     }
@@ -138,7 +140,7 @@
                         List.of(new CrashNotice("ab12", List.of())),
                         List.of());
         byte[] encoded = FleetCodec.encode(snapshot);
-        int recordBytes = 9;
+        int recordBytes = 10;
 
         assertThat(
                 FleetCodec.decode(Arrays.copyOf(encoded, encoded.length - recordBytes)),
@@ -159,9 +161,9 @@
                         new Snapshot(
                                 "a", ByteBuffer.allocate(0), 9, List.of(), List.of(), List.of()));
         // MessagePack for an array of 2^32 - 1 elements.
-        encoded[encoded.length - 2] = (byte) 0xdd;
+        encoded[encoded.length - 3] = (byte) 0xdd;
         byte[] endless = Arrays.copyOf(encoded, encoded.length + 4);
-        Arrays.fill(endless, encoded.length - 1, endless.length - 1, (byte) 0xff);
+        Arrays.fill(endless, encoded.length - 2, endless.length - 2, (byte) 0xff);
 
         assertThrows(IOException.class, () -> FleetCodec.decode(endless));
     }
@@ -169,11 +171,26 @@
     @Test
     void testDecodeWhenEndpointChanges() throws IOException {
         EndpointChanges changes =
-                new EndpointChanges("a", 3, 9, List.of(ENDPOINT), List.of("gone"));
+                new EndpointChanges(
+                        "a",
+                        3,
+                        9,
+                        List.of(ENDPOINT),
+                        List.of("gone"),
+                        List.of(new ColdReport("e@1", 8, 0)));
 
         assertThat(FleetCodec.decode(FleetCodec.encode(changes)), equalTo(changes));
     }
 
+    @Test
+    void testDecodeWhenEndpointChangesAreOfAnEarlierVersion() throws IOException {
+        EndpointChanges changes =
+                new EndpointChanges("a", 3, 9, List.of(ENDPOINT), List.of("gone"));
+        byte[] encoded = FleetCodec.encode(changes);
+
+        assertThat(FleetCodec.decode(Arrays.copyOf(encoded, encoded.length - 1)), equalTo(changes));
+    }
+
     @Test
     void testDecodeWhenMessageIsTruncated() {
         byte[] encoded = FleetCodec.encode(new SnapshotRequest(70_000, 70_000));
--- a/chicorytrestle-gateway/src/test/java/io/chicorytrestle/gateway/settings/SettingsParserTest.java
+++ b/chicorytrestle-gateway/src/test/java/io/chicorytrestle/gateway/settings/SettingsParserTest.java
@@ -6,6 +6,8 @@
 import static org.hamcrest.Matchers.equalTo;
 import static org.junit.jupiter.api.Assertions.assertThrows;
 
+import io.chicorytrestle.core.placement.ColdStartBound;
+import java.util.Optional;
 import org.junit.jupiter.api.Test;
 
 class SettingsParserTest {
@@ -45,6 +47,24 @@
                         containsString("availability_zone")));
     }
 
+    @Test
+    void testParseWhenTheBoundOnColdEndpointsIsPresent() throws InvalidSettingsException {
+        String bounded =
+                COMPLETE_SETTINGS.replace(
+                        "\"later\"",
+                        "\"cold_start_overage\": 1.5, \"cold_start_slack\": 5, \"later\"");
+
+        assertThat(
+                SettingsParser.parse(bounded).coldStartBound(),
+                equalTo(Optional.of(new ColdStartBound(1.5, 5))));
+        assertThat(
+                SettingsParser.parse(COMPLETE_SETTINGS).coldStartBound(),
+                equalTo(Optional.empty()));
+        assertThrows(
+                InvalidSettingsException.class,
+                () -> SettingsParser.parse(bounded.replace("1.5", "null")));
+    }
+
     @Test
     void testParseWhenTextIsNotAnObject() {
         assertThrows(InvalidSettingsException.class, () -> SettingsParser.parse("[1"));
