Send nothing to the endpoints of an evacuated zone

Cause: no code read the operator's entries op/evacuate/ZONE.

Change: the watch of the configuration reads the prefix op/ and so the evacuations, without another call. The view of endpoints leaves evacuated zones out, a request that was connecting is checked before it is sent, and an instance sends nothing before it knows a set. Zones that are taken back return endpoint by endpoint within 4 s.

FleetCodecTest: the messages of earlier versions end two bytes sooner, which the tests cut off first; they are as strict as before.

--- a/chicorytrestle-core/src/main/java/io/chicorytrestle/core/attempt/RefusalReason.java
+++ b/chicorytrestle-core/src/main/java/io/chicorytrestle/core/attempt/RefusalReason.java
@@ -11,12 +11,21 @@
     /** No routing table is known yet. A process that starts receives one within a second. */
     NO_TABLE(300),
 
+    /**
+     * It is not known yet which zones are evacuated. A process that starts learns it with its
+     * routing table.
+     */
+    NO_EVACUATIONS(300),
+
     /**
      * No endpoint of the service accepts requests. Entries that expired reappear within two
      * seconds, and an endpoint that is replaced starts again within some.
      */
     NO_ENDPOINT(500),
 
+    /** The operator has evacuated every zone in which the service has endpoints. */
+    EVACUATED(1_000),
+
     /**
      * No connection to an endpoint could be opened. A restart takes seconds, but another zone may
      * be reachable.
--- a/chicorytrestle-core/src/main/java/io/chicorytrestle/core/placement/EndpointDirectory.java
+++ b/chicorytrestle-core/src/main/java/io/chicorytrestle/core/placement/EndpointDirectory.java
@@ -53,6 +53,9 @@
      */
     private final Map<String, Long> leavingIncarnations = new HashMap<>();
 
+    /** The zones that the operator has evacuated. */
+    private final EvacuatedZones evacuatedZones = new EvacuatedZones();
+
     /**
      * The time in milliseconds for which a vanished endpoint may still be used as a last resort.
      */
@@ -195,6 +198,34 @@
                 .toList();
     }
 
+    /**
+     * Accepts a set of evacuated zones unless a newer one is known. The endpoints of a zone that is
+     * taken back count as having joined once they return, since other endpoints have served their
+     * chats meanwhile.
+     *
+     * @param evacuations The set.
+     * @param nowMillis The current time in milliseconds.
+     * @return The zones that are evacuated or taken back by it, possibly none.
+     */
+    public Set<String> accept(Evacuations evacuations, long nowMillis) {
+        Set<String> changed = evacuatedZones.accept(evacuations, nowMillis);
+        for (ServingEndpoint endpoint : listedEndpoints.values()) {
+            if (evacuatedZones.isReturning(endpoint, nowMillis)) {
+                joinTimes.put(endpoint.incarnation(), evacuatedZones.returnsAtMillis(endpoint));
+            }
+        }
+        return changed;
+    }
+
+    /**
+     * Returns the newest known set of evacuated zones.
+     *
+     * @return The set, sent to other instances.
+     */
+    public Evacuations evacuations() {
+        return evacuatedZones.current();
+    }
+
     /**
      * Returns all listed endpoints, leaving ones included.
      *
@@ -206,7 +237,7 @@
 
     /**
      * Returns the endpoints that may accept work. Where most entries of a service vanished, its
-     * vanished endpoints are included for the grace period.
+     * vanished endpoints are included for the grace period. Those of evacuated zones never are.
      *
      * @param nowMillis The current time in milliseconds.
      * @return An immutable snapshot.
@@ -215,13 +246,22 @@
         vanished.values()
                 .removeIf(entry -> nowMillis - entry.vanishedMillis() >= vanishedGraceMillis);
         Map<String, List<ServingEndpoint>> ready = new HashMap<>();
+        List<ServingEndpoint> withdrawn = new ArrayList<>();
         for (ServingEndpoint endpoint : listedEndpoints.values()) {
-            if (!endpoint.isLeaving()) {
+            if (evacuatedZones.isEvacuated(endpoint) && !endpoint.isLeaving()) {
+                withdrawn.add(endpoint);
+            } else if (!endpoint.isLeaving()) {
                 ready.computeIfAbsent(endpoint.service(), ignored -> new ArrayList<>())
                         .add(endpoint);
             }
         }
+        Set<String> evacuatedServices = new HashSet<>();
+        withdrawn.forEach(endpoint -> evacuatedServices.add(endpoint.service()));
+        ready.values().forEach(endpoints -> holdBackReturning(endpoints, withdrawn, nowMillis));
         addVanished(ready);
+        evacuatedServices.removeAll(ready.keySet());
+        withdrawn.removeIf(
+                endpoint -> nowMillis - evacuatedZones.sinceMillis(endpoint) >= WARM_UP_MILLIS);
         ready.values().forEach(list -> list.sort(Comparator.comparing(ServingEndpoint::id)));
         joinTimes.values().removeIf(sinceMillis -> nowMillis - sinceMillis >= WARM_UP_MILLIS);
         List<ServingEndpoint> leavingEndpoints =
@@ -231,7 +271,28 @@
         leavingIncarnations
                 .values()
                 .removeIf(sinceMillis -> nowMillis - sinceMillis >= LEAVING_MEMORY_MILLIS);
-        return new ServingView(ready, leavingEndpoints, joinTimes.keySet());
+        withdrawn.addAll(leavingEndpoints);
+        return new ServingView(ready, withdrawn, evacuatedServices, joinTimes.keySet());
+    }
+
+    /**
+     * Moves the endpoints of a service that return later to the withdrawn ones, unless no other is
+     * left.
+     *
+     * @param endpoints The endpoints of the service that may accept work.
+     * @param withdrawn The endpoints that accept no work but may hold cached prompt parts.
+     * @param nowMillis The current time in milliseconds.
+     */
+    private void holdBackReturning(
+            List<ServingEndpoint> endpoints, List<ServingEndpoint> withdrawn, long nowMillis) {
+        List<ServingEndpoint> returning =
+                endpoints.stream()
+                        .filter(endpoint -> evacuatedZones.isReturning(endpoint, nowMillis))
+                        .toList();
+        if (returning.size() < endpoints.size()) {
+            endpoints.removeAll(returning);
+            withdrawn.addAll(returning);
+        }
     }
 
     /**
@@ -242,7 +303,8 @@
     private void addVanished(Map<String, List<ServingEndpoint>> ready) {
         Map<String, List<ServingEndpoint>> vanishedByService = new HashMap<>();
         for (VanishedEndpoint entry : vanished.values()) {
-            if (!leavingIncarnations.containsKey(entry.endpoint().incarnation())) {
+            if (!leavingIncarnations.containsKey(entry.endpoint().incarnation())
+                    && !evacuatedZones.isEvacuated(entry.endpoint())) {
                 vanishedByService
                         .computeIfAbsent(entry.endpoint().service(), ignored -> new ArrayList<>())
                         .add(entry.endpoint());
--- a/chicorytrestle-core/src/test/java/io/chicorytrestle/core/placement/EndpointPickerTest.java
+++ b/chicorytrestle-core/src/test/java/io/chicorytrestle/core/placement/EndpointPickerTest.java
@@ -135,6 +135,7 @@
                 new ServingView(
                         Map.of(Endpoints.SERVICE, VIEW.endpointsOf(Endpoints.SERVICE)),
                         List.of(),
+                        Set.of(),
                         Set.of(home.incarnation()));
         ServingEndpoint previousHome =
                 RANKING.home(others, new PromptPart("chat", 400)).orElseThrow();
@@ -153,7 +154,10 @@
                         .toList();
         ServingView viewAfterLeave =
                 new ServingView(
-                        Map.of(Endpoints.SERVICE, others), List.of(home.asLeaving()), Set.of());
+                        Map.of(Endpoints.SERVICE, others),
+                        List.of(home.asLeaving()),
+                        Set.of(),
+                        Set.of());
 
         Placement placement = pick(viewAfterLeave, "chat");
 
--- a/chicorytrestle-core/src/test/java/io/chicorytrestle/core/placement/Endpoints.java
+++ b/chicorytrestle-core/src/test/java/io/chicorytrestle/core/placement/Endpoints.java
@@ -16,7 +16,7 @@
     }
 
     static ServingView view(ServingEndpoint... endpoints) {
-        return new ServingView(Map.of(SERVICE, List.of(endpoints)), List.of(), Set.of());
+        return new ServingView(Map.of(SERVICE, List.of(endpoints)), List.of(), Set.of(), Set.of());
     }
 
     static Prompt prompt(String shared) {
--- /dev/null
+++ b/chicorytrestle-core/src/test/java/io/chicorytrestle/core/placement/EvacuatedZonesTest.java
@@ -0,0 +1,120 @@
+package io.chicorytrestle.core.placement;
+
+import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.contains;
+import static org.hamcrest.Matchers.empty;
+import static org.hamcrest.Matchers.equalTo;
+import static org.hamcrest.Matchers.greaterThan;
+import static org.hamcrest.Matchers.hasSize;
+import static org.hamcrest.Matchers.is;
+import static org.hamcrest.Matchers.lessThan;
+import static org.hamcrest.Matchers.not;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Set;
+import org.junit.jupiter.api.Test;
+
+class EvacuatedZonesTest {
+
+    private static final Evacuations NONE = new Evacuations(4, Set.of());
+
+    private static final Evacuations ZONE_A = new Evacuations(7, Set.of("a"));
+
+    private static final ServingEndpoint IN_A = Endpoints.ready("1", "a");
+
+    private static final ServingEndpoint IN_B = Endpoints.ready("2", "b");
+
+    private final EndpointDirectory directory = new EndpointDirectory(1_400);
+
+    @Test
+    void testViewWhenZoneIsEvacuated() {
+        directory.replace(List.of(IN_A, IN_B), 0);
+        directory.accept(NONE, 0);
+        directory.accept(ZONE_A, 1);
+
+        ServingView view = directory.view(2);
+
+        assertThat(view.endpointsOf(Endpoints.SERVICE), contains(IN_B));
+        assertThat(view.leaving(), contains(IN_A));
+        assertThat(view.evacuatedServices(), is(empty()));
+        assertThat(directory.view(10_001).leaving(), is(empty()));
+    }
+
+    @Test
+    void testViewWhenEveryZoneIsEvacuated() {
+        directory.replace(List.of(IN_A), 0);
+        directory.accept(ZONE_A, 1);
+
+        ServingView view = directory.view(20_000);
+
+        assertThat(view.endpointsOf(Endpoints.SERVICE), is(empty()));
+        assertThat(view.evacuatedServices(), contains(Endpoints.SERVICE));
+        assertThat(view.hasEndpoints(), is(true));
+    }
+
+    @Test
+    void testViewWhenEntriesOfAnEvacuatedZoneLapse() {
+        directory.replace(List.of(IN_A, IN_B), 0);
+        directory.accept(ZONE_A, 1);
+        directory.replace(List.of(), 2);
+
+        assertThat(directory.view(3).endpointsOf(Endpoints.SERVICE), contains(IN_B));
+    }
+
+    @Test
+    void testAcceptWhenSetIsOvertaken() {
+        directory.replace(List.of(IN_A, IN_B), 0);
+        directory.accept(ZONE_A, 1);
+
+        assertThat(directory.accept(NONE, 2), is(empty()));
+        assertThat(directory.evacuations(), equalTo(ZONE_A));
+        assertThat(directory.view(3).endpointsOf(Endpoints.SERVICE), contains(IN_B));
+    }
+
+    @Test
+    void testAfterWhenChangeIsContainedAlready() {
+        assertThat(ZONE_A.after("a", false, 7), equalTo(ZONE_A));
+        assertThat(ZONE_A.after("a", false, 8), equalTo(new Evacuations(8, Set.of())));
+        assertThat(ZONE_A.after("b", true, 9), equalTo(new Evacuations(9, Set.of("a", "b"))));
+    }
+
+    @Test
+    void testViewWhenZoneIsTakenBack() {
+        List<ServingEndpoint> endpoints = new ArrayList<>(List.of(IN_B));
+        for (int index = 0; index < 40; index++) {
+            endpoints.add(Endpoints.ready("a" + index, "a"));
+        }
+        directory.replace(endpoints, 0);
+        directory.accept(ZONE_A, 1);
+        directory.accept(new Evacuations(9, Set.of()), 30_000);
+
+        assertThat(directory.view(30_000).endpointsOf(Endpoints.SERVICE), hasSize(lessThan(5)));
+        List<ServingEndpoint> half = directory.view(32_000).endpointsOf(Endpoints.SERVICE);
+        assertThat(half, hasSize(greaterThan(10)));
+        assertThat(half, hasSize(lessThan(32)));
+        ServingView all = directory.view(30_000 + EvacuatedZones.RETURN_MILLIS);
+        assertThat(all.endpointsOf(Endpoints.SERVICE), hasSize(endpoints.size()));
+        assertThat(all.recentlyJoined(), hasSize(40));
+    }
+
+    @Test
+    void testViewWhenTheOnlyZoneIsTakenBack() {
+        directory.replace(List.of(IN_A), 0);
+        directory.accept(ZONE_A, 1);
+        directory.accept(new Evacuations(9, Set.of()), 2);
+
+        assertThat(directory.view(2).endpointsOf(Endpoints.SERVICE), contains(IN_A));
+    }
+
+    @Test
+    void testViewWhenZoneIsEvacuatedAgainWhileItsEndpointsReturn() {
+        directory.replace(List.of(IN_A, IN_B), 0);
+        directory.accept(ZONE_A, 1);
+        directory.accept(new Evacuations(9, Set.of()), 2);
+        directory.accept(new Evacuations(11, Set.of("a")), 3);
+
+        assertThat(directory.view(9_000).endpointsOf(Endpoints.SERVICE), is(not(empty())));
+        assertThat(directory.view(9_000).endpointsOf(Endpoints.SERVICE), contains(IN_B));
+    }
+}
--- a/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/Gateway.java
+++ b/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/Gateway.java
@@ -179,6 +179,7 @@
         requestHandler = new RequestHandler(context);
         blackboard.addListener(RouteTopics.ROUTING_TABLE, table -> handleNewState());
         blackboard.addListener(PlacementTopics.SERVING, view -> handleNewState());
+        blackboard.addListener(PlacementTopics.EVACUATIONS, zones -> handleNewState());
         callerServer = server(settings.callerAddress(), requestHandler, limits);
         ready = server(settings.readyAddress(), text(this::readiness), () -> RequestLimits.DEFAULT);
         metricsServer = createMetricsServer(metricsPort);
--- a/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/exchange/Attempt.java
+++ b/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/exchange/Attempt.java
@@ -175,6 +175,12 @@
             endUnsent("endpoint began to leave while connecting");
             return;
         }
+        if (context.evacuations().zones().contains(endpoint().zone())) {
+            context.endpointConnections().giveBack(acquired);
+            context.metrics().counter("requests_withheld_total", "evacuated").inc();
+            endUnsent("zone was evacuated while connecting");
+            return;
+        }
         if (context.backoffs().isActive(endpoint().incarnation(), context.nowMillis())) {
             context.endpointConnections().giveBack(acquired);
             endUnsent("endpoint asked for no requests while connecting");
--- a/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/exchange/Exchange.java
+++ b/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/exchange/Exchange.java
@@ -123,9 +123,10 @@
                 end().abort("no other endpoint is left");
             } else if (attempts.verdict() == Verdict.NOT_RUN) {
                 refuse(
-                        triedIncarnations.isEmpty()
-                                ? RefusalReason.NO_ENDPOINT
-                                : RefusalReason.UNREACHABLE);
+                        Refusals.withoutEndpoint(
+                                context.endpoints(),
+                                routed.service(),
+                                !triedIncarnations.isEmpty()));
             } else {
                 end().fail("no other endpoint is left");
             }
--- a/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/exchange/GatewayContext.java
+++ b/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/exchange/GatewayContext.java
@@ -9,6 +9,7 @@
 import io.chicorytrestle.core.placement.EndpointBackoffs;
 import io.chicorytrestle.core.placement.EndpointHealth;
 import io.chicorytrestle.core.placement.EndpointPicker;
+import io.chicorytrestle.core.placement.Evacuations;
 import io.chicorytrestle.core.placement.LoadTracker;
 import io.chicorytrestle.core.placement.OutcomeTracker;
 import io.chicorytrestle.core.placement.PlacementSettings;
@@ -185,6 +186,15 @@
         return blackboard.read(PlacementTopics.SERVING);
     }
 
+    /**
+     * Returns the zones that the operator has evacuated.
+     *
+     * @return The evacuated zones, unknown before the first set was received.
+     */
+    Evacuations evacuations() {
+        return blackboard.read(PlacementTopics.EVACUATIONS);
+    }
+
     /**
      * Sets what knows which endpoints are leaving.
      *
--- a/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/exchange/RequestHandler.java
+++ b/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/exchange/RequestHandler.java
@@ -76,12 +76,14 @@
     /**
      * Returns {@code true} if this instance has not received what it needs to route requests.
      *
-     * @return {@code true} until it has known a routing table and an endpoint, whether that accepts
-     *     work or not.
+     * @return {@code true} until it has known a routing table, the evacuated zones and an endpoint,
+     *     whether that accepts work or not.
      */
     public boolean isAwaitingState() {
         hasKnownEndpoints |= context.endpoints().hasEndpoints();
-        return !hasKnownEndpoints || !context.table().isPublished();
+        return !hasKnownEndpoints
+                || !context.table().isPublished()
+                || !context.evacuations().isKnown();
     }
 
     /** Routes the held requests, unless this instance still awaits its state. */
@@ -260,6 +262,10 @@
                 refuse(request, caller, RefusalReason.NO_TABLE);
                 return;
             }
+            if (!context.evacuations().isKnown()) {
+                refuse(request, caller, RefusalReason.NO_EVACUATIONS);
+                return;
+            }
             Optional<Route> route = table.route(request.host(), request.path());
             if (route.isEmpty()) {
                 reject(request.id(), caller, HttpResponseStatus.NOT_FOUND, "no route matches");
--- a/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/fleet/FleetChannel.java
+++ b/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/fleet/FleetChannel.java
@@ -181,13 +181,14 @@
     }
 
     /**
-     * Decides whether this instance reads the routing table from the store itself.
+     * Decides whether this instance reads the routing table and the evacuations from the store
+     * itself.
      *
      * @param readsEndpoints Whether it reads the list of endpoints from the store.
-     * @return {@code true} if it does, or if the zone is small.
+     * @return {@code true} if it does, if the zone is small, or until it knows the evacuations.
      */
     public boolean shouldReadTable(boolean readsEndpoints) {
-        return readsEndpoints || !isZoneLarge();
+        return readsEndpoints || !isZoneLarge() || !fleetState.evacuations().isKnown();
     }
 
     /**
@@ -234,12 +235,12 @@
     }
 
     /**
-     * Sends changes of the store's list of endpoints to all reachable instances of the zone. The
-     * primary reader announces them to other zones, too, whose connections may have gone silent.
+     * Sends what changed in the store to all reachable instances of the zone. The primary reader
+     * announces it to other zones, too, whose connections may have gone silent.
      *
-     * @param changes The changes that this instance read.
+     * @param changes The endpoints or evacuations that this instance read.
      */
-    public void broadcastToZone(EndpointChanges changes) {
+    public void broadcastToZone(FleetMessage changes) {
         long nowMillis = reactor.currentTimeMillis();
         byte[] message = FleetCodec.encode(changes);
         for (String address : members.reachableZoneAddresses(nowMillis)) {
@@ -319,7 +320,8 @@
                                 observations.crashes().recentNotices(nowMillis),
                                 members.sampleReachablePeers(nowMillis),
                                 observations.promptParts().ownReads(nowMillis),
-                                observations.partCrashes().recentNotices(nowMillis)));
+                                observations.partCrashes().recentNotices(nowMillis),
+                                fleetState.evacuations()));
         for (String address : targets) {
             send(address, message, nowMillis);
         }
@@ -353,6 +355,8 @@
             handle(snapshot, nowMillis);
         } else if (message instanceof EndpointChanges changes) {
             fleetState.applyFromPeer(changes, nowMillis);
+        } else if (message instanceof EvacuationNotice notice) {
+            fleetState.acceptEvacuations(notice.evacuations(), notice.sender(), nowMillis);
         } else if (message instanceof PublishedTable published) {
             handle(published.table(), published.sender());
         }
@@ -390,6 +394,7 @@
                     .recordPeerOutcomes(heartbeat.sender().name(), heartbeat.outcomes(), nowMillis);
         }
         observations.promptParts().recordPeerReads(heartbeat.promptReads(), nowMillis);
+        fleetState.acceptEvacuations(heartbeat.evacuations(), heartbeat.sender().name(), nowMillis);
         crashes.record(heartbeat, nowMillis);
         for (String leaving : heartbeat.leaving()) {
             fleetState.markLeaving(leaving, heartbeat.sender().name(), nowMillis);
@@ -454,6 +459,7 @@
      */
     private void handle(Snapshot snapshot, long nowMillis) {
         crashes.record(snapshot, nowMillis);
+        fleetState.acceptEvacuations(snapshot.evacuations(), snapshot.sender(), nowMillis);
         if (snapshot.table().hasRemaining()) {
             handle(snapshot.table(), snapshot.sender());
         }
--- a/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/fleet/FleetCodec.java
+++ b/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/fleet/FleetCodec.java
@@ -36,6 +36,9 @@
     /** The number that starts an acknowledgement. */
     private static final int ACKNOWLEDGEMENT = 6;
 
+    /** The number that starts a notice of evacuated zones. */
+    private static final int EVACUATION_NOTICE = 7;
+
     /** Prevents instantiation. */
     private FleetCodec() {}
 
@@ -65,6 +68,10 @@
                 packer.packInt(PUBLISHED_TABLE);
                 packer.packString(published.sender());
                 pack(packer, published.table());
+            } else if (message instanceof EvacuationNotice notice) {
+                packer.packInt(EVACUATION_NOTICE);
+                packer.packString(notice.sender());
+                EvacuationCodec.pack(packer, notice.evacuations());
             } else if (message instanceof Acknowledgement) {
                 packer.packInt(ACKNOWLEDGEMENT);
             }
@@ -91,6 +98,9 @@
                 case ENDPOINT_CHANGES -> unpackChanges(unpacker);
                 case PUBLISHED_TABLE ->
                         new PublishedTable(unpacker.unpackString(), unpackBytes(unpacker));
+                case EVACUATION_NOTICE ->
+                        new EvacuationNotice(
+                                unpacker.unpackString(), EvacuationCodec.unpack(unpacker));
                 case ACKNOWLEDGEMENT -> Acknowledgement.INSTANCE;
                 default -> throw new IOException("Unknown kind of message: " + kind);
             };
@@ -142,6 +152,7 @@
             packer.packInt(crash.otherCompletions());
         }
         CrashCodec.packRecords(packer, heartbeat.crashes());
+        EvacuationCodec.pack(packer, heartbeat.evacuations());
     }
 
     /**
@@ -198,7 +209,8 @@
                 crashes,
                 peers,
                 promptReads,
-                partCrashes);
+                partCrashes,
+                EvacuationCodec.unpack(unpacker));
     }
 
     /**
@@ -289,6 +301,7 @@
         pack(packer, snapshot.endpoints());
         CrashCodec.packRecords(packer, snapshot.crashes());
         CrashCodec.packPartRecords(packer, snapshot.partCrashes());
+        EvacuationCodec.pack(packer, snapshot.evacuations());
     }
 
     /**
@@ -308,7 +321,14 @@
                 unpacker.hasNext() ? CrashCodec.unpackRecords(unpacker) : List.of();
         List<PartCrashNotice> partCrashes =
                 unpacker.hasNext() ? CrashCodec.unpackPartRecords(unpacker) : List.of();
-        return new Snapshot(sender, table, endpointRevision, endpoints, crashes, partCrashes);
+        return new Snapshot(
+                sender,
+                table,
+                endpointRevision,
+                endpoints,
+                crashes,
+                partCrashes,
+                EvacuationCodec.unpack(unpacker));
     }
 
     /**
--- a/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/fleet/FleetMessage.java
+++ b/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/fleet/FleetMessage.java
@@ -7,4 +7,5 @@
                 Snapshot,
                 EndpointChanges,
                 PublishedTable,
+                EvacuationNotice,
                 Acknowledgement {}
--- a/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/fleet/FleetState.java
+++ b/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/fleet/FleetState.java
@@ -4,6 +4,7 @@
 import io.chicorytrestle.core.blackboard.Blackboard;
 import io.chicorytrestle.core.blackboard.Controller;
 import io.chicorytrestle.core.placement.EndpointDirectory;
+import io.chicorytrestle.core.placement.Evacuations;
 import io.chicorytrestle.core.placement.PlacementTopics;
 import io.chicorytrestle.core.placement.ServingEndpoint;
 import io.chicorytrestle.core.placement.ServingView;
@@ -14,6 +15,7 @@
 import java.util.Collection;
 import java.util.List;
 import java.util.Optional;
+import java.util.Set;
 import java.util.function.Consumer;
 
 /**
@@ -239,6 +241,46 @@
         return directory.all();
     }
 
+    /**
+     * Accepts a set of evacuated zones unless a newer one is known, and logs each zone for which
+     * that changes what this instance does.
+     *
+     * @param evacuations The set.
+     * @param source The peer or the store that delivered it; logged.
+     * @param nowMillis The current time in milliseconds.
+     * @return {@code true} if the set is new to this instance.
+     */
+    public boolean acceptEvacuations(Evacuations evacuations, String source, long nowMillis) {
+        if (evacuations.revision() <= directory.evacuations().revision()) {
+            return false;
+        }
+        Set<String> changed = directory.accept(evacuations, nowMillis);
+        for (String zone : changed) {
+            LOGGER.atInfo()
+                    .with(LogFields.ZONE, zone)
+                    .with(
+                            LogFields.OUTCOME,
+                            evacuations.zones().contains(zone) ? "evacuated" : "taken back")
+                    .with(LogFields.VERSION, evacuations.revision())
+                    .with(LogFields.REASON, source)
+                    .log("zone_evacuation_changed");
+        }
+        if (!changed.isEmpty()) {
+            refreshServingView(nowMillis);
+        }
+        blackboard.write(PlacementTopics.EVACUATIONS, evacuations);
+        return true;
+    }
+
+    /**
+     * Returns the newest known set of evacuated zones.
+     *
+     * @return The set, sent to peers in heartbeats and snapshots.
+     */
+    public Evacuations evacuations() {
+        return directory.evacuations();
+    }
+
     @Override
     public void step(long nowMillis) {
         refreshServingView(nowMillis);
--- a/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/fleet/Heartbeat.java
+++ b/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/fleet/Heartbeat.java
@@ -1,6 +1,7 @@
 package io.chicorytrestle.gateway.fleet;
 
 import io.chicorytrestle.core.fleet.StoreContact;
+import io.chicorytrestle.core.placement.Evacuations;
 import io.chicorytrestle.core.placement.Outcomes;
 import io.chicorytrestle.core.poison.CrashNotice;
 import io.chicorytrestle.core.poison.PartCrashNotice;
@@ -26,6 +27,7 @@
  * @param promptReads The keys of prompt parts that endpoints read lately at the sender's request,
  *     by incarnation of the endpoint.
  * @param partCrashes The identifiers of prompt parts under which endpoints crashed recently.
+ * @param evacuations The zones that the operator has evacuated, as known to the sender.
  */
 public record Heartbeat(
         PeerAddress sender,
@@ -40,7 +42,8 @@
         List<CrashNotice> crashes,
         List<PeerAddress> peers,
         Map<String, List<String>> promptReads,
-        List<PartCrashNotice> partCrashes)
+        List<PartCrashNotice> partCrashes,
+        Evacuations evacuations)
         implements FleetMessage {
 
     /** Copies the collections. */
--- a/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/fleet/Snapshot.java
+++ b/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/fleet/Snapshot.java
@@ -1,5 +1,6 @@
 package io.chicorytrestle.gateway.fleet;
 
+import io.chicorytrestle.core.placement.Evacuations;
 import io.chicorytrestle.core.placement.ServingEndpoint;
 import io.chicorytrestle.core.poison.CrashNotice;
 import io.chicorytrestle.core.poison.PartCrashNotice;
@@ -17,6 +18,7 @@
  * @param endpoints The endpoints known to the sender.
  * @param crashes The crashes by request content that the sender has recorded.
  * @param partCrashes The crashes by prompt part that the sender has recorded.
+ * @param evacuations The zones that the operator has evacuated, as known to the sender.
  */
 public record Snapshot(
         String sender,
@@ -24,7 +26,8 @@
         long endpointRevision,
         List<ServingEndpoint> endpoints,
         List<CrashNotice> crashes,
-        List<PartCrashNotice> partCrashes)
+        List<PartCrashNotice> partCrashes,
+        Evacuations evacuations)
         implements FleetMessage {
 
     /** Makes the table read-only and copies the lists. */
--- a/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/fleet/SnapshotFactory.java
+++ b/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/fleet/SnapshotFactory.java
@@ -47,6 +47,7 @@
                 hasEndpoints ? fleetState.endpointRevision() : 0,
                 hasEndpoints ? List.copyOf(fleetState.endpoints()) : List.of(),
                 observations.crashes().records(nowMillis),
-                observations.partCrashes().records(nowMillis));
+                observations.partCrashes().records(nowMillis),
+                fleetState.evacuations());
     }
 }
--- a/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/operations/LogFields.java
+++ b/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/operations/LogFields.java
@@ -78,6 +78,9 @@
     /** The name of another entry instance. */
     public static final MetadataKey<String> PEER = MetadataKey.single("peer", String.class);
 
+    /** The name of an availability zone. */
+    public static final MetadataKey<String> ZONE = MetadataKey.single("zone", String.class);
+
     /** The number of items or events that a log line is about. */
     public static final MetadataKey<Integer> COUNT = MetadataKey.single("count", Integer.class);
 
--- a/chicorytrestle-gateway/src/test/java/io/chicorytrestle/gateway/fleet/FleetCodecTest.java
+++ b/chicorytrestle-gateway/src/test/java/io/chicorytrestle/gateway/fleet/FleetCodecTest.java
@@ -5,6 +5,7 @@
 import static org.junit.jupiter.api.Assertions.assertThrows;
 
 import io.chicorytrestle.core.fleet.StoreContact;
+import io.chicorytrestle.core.placement.Evacuations;
 import io.chicorytrestle.core.placement.Outcomes;
 import io.chicorytrestle.core.placement.ServingEndpoint;
 import io.chicorytrestle.core.poison.CrashNotice;
@@ -15,6 +16,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Random;
+import java.util.Set;
 import org.junit.jupiter.api.Test;
 
 class FleetCodecTest {
@@ -24,6 +26,8 @@
     private static final ServingEndpoint ENDPOINT =
             new ServingEndpoint("e", "s", "10.0.0.2:8", "z", 64, true, 1_700_000_000_000L);
 
+    private static final Evacuations EVACUATIONS = new Evacuations(1_000, Set.of("x", "z"));
+
     @Test
     void testDecodeWhenHeartbeat() throws IOException {
         Heartbeat heartbeat =
@@ -43,7 +47,8 @@
                                 new CrashNotice("ef56", Map.of("e@1", 70L), List.of("f@2"))),
                         List.of(new PeerAddress("b", "10.0.0.3:9", "y")),
                         Map.of("e@1", List.of("m/1", "m/2")),
-                        List.of(new PartCrashNotice("5c1e", List.of("e@1", "f@2"), 4)));
+                        List.of(new PartCrashNotice("5c1e", List.of("e@1", "f@2"), 4)),
+                        EVACUATIONS);
 
         assertThat(FleetCodec.decode(FleetCodec.encode(heartbeat)), equalTo(heartbeat));
     }
@@ -51,7 +56,7 @@
     @Test
     void testDecodeWhenHeartbeatIsOfAnEarlierVersion() throws IOException {
         byte[] encoded =
-                FleetCodec.encode(
+                encodeWithoutEvacuations(
                         heartbeat(
                                 List.of(
                                         new CrashNotice("ab12", Map.of("e@1", 0L), List.of()),
@@ -75,7 +80,7 @@
     @Test
     void testDecodeWhenAgeOfCrashIsNegative() {
         byte[] encoded =
-                FleetCodec.encode(
+                encodeWithoutEvacuations(
                         heartbeat(List.of(new CrashNotice("ab12", Map.of("e@1", 5L), List.of()))));
         encoded[encoded.length - 2] = -1;
 
@@ -96,7 +101,33 @@
                 crashes,
                 List.of(),
                 Map.of(),
-                List.of());
+                List.of(),
+                Evacuations.UNKNOWN);
+    }
+
+    /** Encodes a message as instances of an earlier version do. */
+    private static byte[] encodeWithoutEvacuations(FleetMessage message) {
+        byte[] encoded = FleetCodec.encode(message);
+        int evacuationBytes = 2;
+        return Arrays.copyOf(encoded, encoded.length - evacuationBytes);
+    }
+
+    @Test
+    void testDecodeWhenEvacuationNotice() throws IOException {
+        EvacuationNotice notice = new EvacuationNotice("a", EVACUATIONS);
+        byte[] encoded = FleetCodec.encode(notice);
+
+        assertThat(FleetCodec.decode(encoded), equalTo(notice));
+        byte[] truncated = Arrays.copyOf(encoded, encoded.length - 1);
+        assertThrows(IOException.class, () -> FleetCodec.decode(truncated));
+    }
+
+    @Test
+    void testDecodeWhenRevisionOfEvacuationsIsNegative() {
+        byte[] encoded = FleetCodec.encode(new EvacuationNotice("a", new Evacuations(5, Set.of())));
+        encoded[encoded.length - 2] = -1;
+
+        assertThrows(IOException.class, () -> FleetCodec.decode(encoded));
     }
 
     @Test
@@ -122,7 +153,8 @@
                         9,
                         List.of(ENDPOINT),
                         List.of(new CrashNotice("ab12", Map.of("e@1", 70L), List.of("f@2"))),
-                        List.of(new PartCrashNotice("5c1e", List.of("e@1"), 4, 90)));
+                        List.of(new PartCrashNotice("5c1e", List.of("e@1"), 4, 90)),
+                        EVACUATIONS);
 
         assertThat(FleetCodec.decode(FleetCodec.encode(snapshot)), equalTo(snapshot));
     }
@@ -136,8 +168,9 @@
                         9,
                         List.of(ENDPOINT),
                         List.of(new CrashNotice("ab12", List.of())),
-                        List.of());
-        byte[] encoded = FleetCodec.encode(snapshot);
+                        List.of(),
+                        Evacuations.UNKNOWN);
+        byte[] encoded = encodeWithoutEvacuations(snapshot);
         int recordBytes = 9;
 
         assertThat(
@@ -149,15 +182,22 @@
                                 9,
                                 List.of(ENDPOINT),
                                 List.of(),
-                                List.of())));
+                                List.of(),
+                                Evacuations.UNKNOWN)));
     }
 
     @Test
     void testDecodeWhenSnapshotHoldsAnEndlessListOfCrashes() {
         byte[] encoded =
-                FleetCodec.encode(
+                encodeWithoutEvacuations(
                         new Snapshot(
-                                "a", ByteBuffer.allocate(0), 9, List.of(), List.of(), List.of()));
+                                "a",
+                                ByteBuffer.allocate(0),
+                                9,
+                                List.of(),
+                                List.of(),
+                                List.of(),
+                                Evacuations.UNKNOWN));
         // MessagePack for an array of 2^32 - 1 elements.
         encoded[encoded.length - 2] = (byte) 0xdd;
         byte[] endless = Arrays.copyOf(encoded, encoded.length + 4);
--- a/chicorytrestle-gateway/src/test/java/io/chicorytrestle/gateway/fleet/FleetMembershipTest.java
+++ b/chicorytrestle-gateway/src/test/java/io/chicorytrestle/gateway/fleet/FleetMembershipTest.java
@@ -10,6 +10,7 @@
 import static org.hamcrest.Matchers.is;
 
 import io.chicorytrestle.core.fleet.StoreContact;
+import io.chicorytrestle.core.placement.Evacuations;
 import java.util.ArrayList;
 import java.util.HashSet;
 import java.util.List;
@@ -185,6 +186,7 @@
                 List.of(),
                 peers,
                 Map.of(),
-                List.of());
+                List.of(),
+                Evacuations.UNKNOWN);
     }
 }
