Keep requests in the regions that their route and workspace allow

Change: routes and workspaces decode allowed_regions, and the settings map zones to regions. The view of endpoints is narrowed before an endpoint is picked, so that attempts, repeats, resumed streams and sources of cached parts obey alike; where both state regions both bind. None left: 503 (outside_regions) at once.

--- a/chicorytrestle-core/src/main/java/io/chicorytrestle/core/attempt/RefusalReason.java
+++ b/chicorytrestle-core/src/main/java/io/chicorytrestle/core/attempt/RefusalReason.java
@@ -26,6 +26,9 @@
     /** The operator has evacuated every zone in which the service has endpoints. */
     EVACUATED(1_000),
 
+    /** The service has endpoints, but none in a region that the route and the workspace allow. */
+    OUTSIDE_REGIONS(1_000),
+
     /**
      * No connection to an endpoint could be opened. A restart takes seconds, but another zone may
      * be reachable.
--- a/chicorytrestle-core/src/main/java/io/chicorytrestle/core/route/Route.java
+++ b/chicorytrestle-core/src/main/java/io/chicorytrestle/core/route/Route.java
@@ -1,6 +1,7 @@
 package io.chicorytrestle.core.route;
 
 import java.util.List;
+import java.util.Set;
 
 /**
  * Matches requests by host and path prefix and defines how they are served.
@@ -19,6 +20,7 @@
  * @param isSticky Whether requests name the parts of their prompts, by which they are routed to the
  *     endpoint that caches them.
  * @param shares The services that receive the requests with their weights, at least one.
+ * @param allowedRegions The regions in which requests may be processed, or none for all.
  */
 public record Route(
         String name,
@@ -32,11 +34,13 @@
         int priorityRank,
         boolean isPublic,
         boolean isSticky,
-        List<ServiceShare> shares) {
+        List<ServiceShare> shares,
+        Set<String> allowedRegions) {
 
-    /** Copies the shares and rejects limits that are not positive. */
+    /** Copies the collections and rejects limits that are not positive. */
     public Route {
         shares = List.copyOf(shares);
+        allowedRegions = Set.copyOf(allowedRegions);
         if (shares.isEmpty()) {
             throw new IllegalArgumentException("Route " + name + " must have at least one service");
         }
--- a/chicorytrestle-core/src/test/java/io/chicorytrestle/core/route/RoutingTableTest.java
+++ b/chicorytrestle-core/src/test/java/io/chicorytrestle/core/route/RoutingTableTest.java
@@ -8,6 +8,7 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.OptionalInt;
+import java.util.Set;
 import org.junit.jupiter.api.Test;
 
 class RoutingTableTest {
@@ -65,7 +66,8 @@
                         0,
                         false,
                         false,
-                        List.of(new ServiceShare("a", 90), new ServiceShare("b", 10)));
+                        List.of(new ServiceShare("a", 90), new ServiceShare("b", 10)),
+                        Set.of());
 
         assertThat(route.selectService(0.89), equalTo("a"));
         assertThat(route.selectService(0.91), equalTo("b"));
@@ -76,7 +78,7 @@
                 1,
                 List.of(routes),
                 List.of(),
-                List.of(new Workspace("space", List.of("key"), OptionalInt.empty())),
+                List.of(new Workspace("space", List.of("key"), OptionalInt.empty(), Set.of())),
                 RequestLimits.DEFAULT);
     }
 
@@ -93,6 +95,7 @@
                 0,
                 isPublic,
                 false,
-                List.of(SHARE));
+                List.of(SHARE),
+                Set.of());
     }
 }
--- a/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/Gateway.java
+++ b/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/Gateway.java
@@ -176,7 +176,7 @@
                         context.endpointConnections()::closeIdle);
         context.setLeavingEndpoints(new ReportedLeaving());
         Supplier<RequestLimits> limits = () -> context.table().limits();
-        requestHandler = new RequestHandler(context);
+        requestHandler = new RequestHandler(context, settings.zoneRegions());
         blackboard.addListener(RouteTopics.ROUTING_TABLE, table -> handleNewState());
         blackboard.addListener(PlacementTopics.SERVING, view -> handleNewState());
         blackboard.addListener(PlacementTopics.EVACUATIONS, zones -> handleNewState());
--- a/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/exchange/Exchange.java
+++ b/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/exchange/Exchange.java
@@ -113,7 +113,7 @@
         Optional<Placement> chosen =
                 context.picker()
                         .pick(
-                                context.endpoints(),
+                                routed.usable(context.endpoints()),
                                 routed.service(),
                                 routed.prompt(),
                                 endpoint -> !triedIncarnations.contains(endpoint.incarnation()),
@@ -123,10 +123,8 @@
                 end().abort("no other endpoint is left");
             } else if (attempts.verdict() == Verdict.NOT_RUN) {
                 refuse(
-                        Refusals.withoutEndpoint(
-                                context.endpoints(),
-                                routed.service(),
-                                !triedIncarnations.isEmpty()));
+                        routed.reasonWithoutEndpoint(
+                                context.endpoints(), !triedIncarnations.isEmpty()));
             } else {
                 end().fail("no other endpoint is left");
             }
@@ -366,7 +364,7 @@
         long closedMillis =
                 context.backoffs()
                         .millisUntilOpen(
-                                context.endpoints().endpointsOf(routed.service()),
+                                routed.usable(context.endpoints()).endpointsOf(routed.service()),
                                 context.nowMillis())
                         .orElse(0);
         end().refuse(
--- a/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/exchange/Refusals.java
+++ b/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/exchange/Refusals.java
@@ -1,7 +1,6 @@
 package io.chicorytrestle.gateway.exchange;
 
 import io.chicorytrestle.core.attempt.RefusalReason;
-import io.chicorytrestle.core.placement.ServingView;
 import io.netty.handler.codec.http.HttpResponseStatus;
 import java.util.concurrent.ThreadLocalRandom;
 
@@ -11,21 +10,6 @@
     /** Prevents instantiation. */
     private Refusals() {}
 
-    /**
-     * Returns why no endpoint is left for a request that has not run.
-     *
-     * @param view The known endpoints.
-     * @param service The name of the request's service.
-     * @param hasTried Whether any endpoint was tried.
-     * @return The reason.
-     */
-    static RefusalReason withoutEndpoint(ServingView view, String service, boolean hasTried) {
-        if (view.evacuatedServices().contains(service)) {
-            return RefusalReason.EVACUATED;
-        }
-        return hasTried ? RefusalReason.UNREACHABLE : RefusalReason.NO_ENDPOINT;
-    }
-
     /**
      * Counts and sends a refusal with status 503.
      *
--- a/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/exchange/RequestHandler.java
+++ b/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/exchange/RequestHandler.java
@@ -2,6 +2,7 @@
 
 import com.google.common.flogger.FluentLogger;
 import io.chicorytrestle.core.attempt.RefusalReason;
+import io.chicorytrestle.core.placement.RegionRestriction;
 import io.chicorytrestle.core.route.Route;
 import io.chicorytrestle.core.route.RoutingTable;
 import io.chicorytrestle.core.route.Workspace;
@@ -14,6 +15,7 @@
 import io.netty.handler.codec.http.HttpResponseStatus;
 import java.util.LinkedHashSet;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
 
@@ -42,6 +44,9 @@
     /** The state that all requests share. */
     private final GatewayContext context;
 
+    /** The region of each availability zone. */
+    private final Map<String, String> regionsByZone;
+
     /** The requests that are held until the state is received, in order of arrival. */
     private final Set<PendingRequest> pendingRequests = new LinkedHashSet<>();
 
@@ -60,9 +65,11 @@
      * Creates a handler that accepts requests.
      *
      * @param context The state that all requests share.
+     * @param regionsByZone The region of each availability zone.
      */
-    public RequestHandler(GatewayContext context) {
+    public RequestHandler(GatewayContext context, Map<String, String> regionsByZone) {
         this.context = context;
+        this.regionsByZone = Map.copyOf(regionsByZone);
         starter = new RequestStarter(context);
     }
 
@@ -295,6 +302,10 @@
                             route.get().selectService(RequestSampler.sample(request.id())),
                             new EndpointRequestBuilder(
                                     context.dialect(), workspace, route.get(), head, body),
+                            new RegionRestriction(
+                                    regionsByZone,
+                                    route.get().allowedRegions(),
+                                    workspace.map(Workspace::allowedRegions).orElse(Set.of())),
                             crashHistory);
             Exchange newExchange = new Exchange(context, routed, caller, arrivedMillis);
             exchange = Optional.of(newExchange);
--- a/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/exchange/RoutedRequest.java
+++ b/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/exchange/RoutedRequest.java
@@ -1,6 +1,9 @@
 package io.chicorytrestle.gateway.exchange;
 
+import io.chicorytrestle.core.attempt.RefusalReason;
 import io.chicorytrestle.core.placement.Prompt;
+import io.chicorytrestle.core.placement.RegionRestriction;
+import io.chicorytrestle.core.placement.ServingView;
 import io.chicorytrestle.core.route.Route;
 import io.chicorytrestle.gateway.dialect.GatewayRequest;
 import java.util.Optional;
@@ -12,6 +15,7 @@
  * @param route The route that matches the host and the path.
  * @param service The service selected from those of the route.
  * @param requestBuilder Builds the requests to endpoints.
+ * @param regions The regions in which it may be processed.
  * @param crashHistory The crashes of endpoints under the same request content.
  */
 record RoutedRequest(
@@ -19,8 +23,36 @@
         Route route,
         String service,
         EndpointRequestBuilder requestBuilder,
+        RegionRestriction regions,
         RequestCrashHistory crashHistory) {
 
+    /**
+     * Returns what the request may use of the known endpoints.
+     *
+     * @param view The known endpoints.
+     * @return The view, without endpoints outside the allowed regions.
+     */
+    ServingView usable(ServingView view) {
+        return regions.restrict(view, service);
+    }
+
+    /**
+     * Returns why no endpoint is left for the request, which has not run.
+     *
+     * @param view The known endpoints.
+     * @param hasTried Whether any endpoint was tried.
+     * @return The reason.
+     */
+    RefusalReason reasonWithoutEndpoint(ServingView view, boolean hasTried) {
+        if (view.evacuatedServices().contains(service)) {
+            return RefusalReason.EVACUATED;
+        }
+        if (regions.excludesAll(view, service)) {
+            return RefusalReason.OUTSIDE_REGIONS;
+        }
+        return hasTried ? RefusalReason.UNREACHABLE : RefusalReason.NO_ENDPOINT;
+    }
+
     /**
      * Returns the prompt whose cached parts decide on the placement.
      *
--- a/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/settings/GatewaySettings.java
+++ b/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/settings/GatewaySettings.java
@@ -1,6 +1,7 @@
 package io.chicorytrestle.gateway.settings;
 
 import java.util.List;
+import java.util.Map;
 
 /**
  * The validated settings of a gateway instance.
@@ -19,6 +20,7 @@
  * @param retryRatio The retry budget as a fraction of requests, fleet-wide.
  * @param retrySlack The retries allowed beyond that fraction, fleet-wide and per window.
  * @param loadMultiple The bound on an endpoint's load, as a multiple of the mean load.
+ * @param zoneRegions The region of each availability zone, by the name of the zone.
  */
 public record GatewaySettings(
         String instanceName,
@@ -33,10 +35,12 @@
         long drainMillis,
         double retryRatio,
         double retrySlack,
-        double loadMultiple) {
+        double loadMultiple,
+        Map<String, String> zoneRegions) {
 
-    /** Makes an immutable copy of the seeds. */
+    /** Makes immutable copies of the collections. */
     public GatewaySettings {
         seeds = List.copyOf(seeds);
+        zoneRegions = Map.copyOf(zoneRegions);
     }
 }
--- a/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/settings/SettingsParser.java
+++ b/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/settings/SettingsParser.java
@@ -4,6 +4,7 @@
 import io.chicorytrestle.gateway.document.MalformedDocumentException;
 import io.chicorytrestle.gateway.link.Addresses;
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 
@@ -66,7 +67,8 @@
                         (long) requiredNumber("drain_ms", 0),
                         requiredNumber("retry_ratio", 0),
                         requiredNumber("retry_slack", 0),
-                        requiredNumber("load_multiple", 1));
+                        requiredNumber("load_multiple", 1),
+                        optionalTexts("zone_regions"));
         if (!faults.isEmpty()) {
             throw new InvalidSettingsException(faults);
         }
@@ -136,6 +138,23 @@
         return addresses;
     }
 
+    /**
+     * Reads an optional object whose values are texts.
+     *
+     * @param name The name of the setting.
+     * @return The texts by their names, none if the setting is absent or not such an object.
+     */
+    private Map<String, String> optionalTexts(String name) {
+        Object value = values.get(name);
+        Map<String, String> texts = new HashMap<>();
+        if (value instanceof Map<?, ?> object) {
+            object.forEach((key, text) -> texts.put(String.valueOf(key), String.valueOf(text)));
+        } else if (value != null) {
+            faults.add(name + ": an object is required");
+        }
+        return texts;
+    }
+
     /**
      * Reads a required number.
      *
--- a/chicorytrestle-gateway/src/test/java/io/chicorytrestle/gateway/settings/SettingsParserTest.java
+++ b/chicorytrestle-gateway/src/test/java/io/chicorytrestle/gateway/settings/SettingsParserTest.java
@@ -6,6 +6,7 @@
 import static org.hamcrest.Matchers.equalTo;
 import static org.junit.jupiter.api.Assertions.assertThrows;
 
+import java.util.Map;
 import org.junit.jupiter.api.Test;
 
 class SettingsParserTest {
@@ -15,7 +16,7 @@
             {"instance_name": "i", "availability_zone": "z", "caller_address": "10.0.0.1:1",
              "ready_address": "10.0.0.1:2", "peer_address": "10.0.0.1:3", "seeds": ["10.0.0.2:3"],
              "store_address": "10.0.0.9:4", "store_history_s": 20, "grace_s": 8, "drain_ms": 2000, "retry_ratio": 0.2,
-             "retry_slack": 129, "load_multiple": 2, "later": true}
+             "retry_slack": 129, "load_multiple": 2, "zone_regions": {"z": "north"}, "later": true}
             """;
 
     @Test
@@ -24,6 +25,7 @@
 
         assertThat(settings.graceMillis(), equalTo(8_000L));
         assertThat(settings.seeds().get(0), equalTo("10.0.0.2:3"));
+        assertThat(settings.zoneRegions(), equalTo(Map.of("z", "north")));
     }
 
     @Test
@@ -32,6 +34,7 @@
                 COMPLETE_SETTINGS
                         .replace("\"10.0.0.1:1\"", "\"somewhere\"")
                         .replace("\"grace_s\": 8", "\"grace_s\": -1")
+                        .replace("{\"z\": \"north\"}", "3")
                         .replace("\"availability_zone\": \"z\", ", "");
 
         InvalidSettingsException exception =
@@ -42,6 +45,7 @@
                 allOf(
                         containsString("caller_address"),
                         containsString("grace_s"),
+                        containsString("zone_regions"),
                         containsString("availability_zone")));
     }
 
