--- a/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/Gateway.java
+++ b/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/Gateway.java
@@ -180,9 +180,10 @@
                         context.endpointConnections()::closeIdle);
         context.setLeavingEndpoints(new ReportedLeaving());
         Supplier<RequestLimits> limits = () -> context.table().limits();
-        requestHandler = new RequestHandler(context);
+        requestHandler = new RequestHandler(context, settings.zoneRegions());
         blackboard.addListener(RouteTopics.ROUTING_TABLE, table -> handleNewState());
         blackboard.addListener(PlacementTopics.SERVING, view -> handleNewState());
+        blackboard.addListener(PlacementTopics.EVACUATIONS, zones -> handleNewState());
         callerServer = server(settings.callerAddress(), requestHandler, limits);
         ready = server(settings.readyAddress(), text(this::readiness), () -> RequestLimits.DEFAULT);
         metricsServer = createMetricsServer(metricsPort);
--- a/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/exchange/Exchange.java
+++ b/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/exchange/Exchange.java
@@ -115,7 +115,7 @@
         Optional<Placement> chosen =
                 context.picker()
                         .pick(
-                                context.endpoints(),
+                                routed.usable(context.endpoints()),
                                 routed.service(),
                                 routed.prompt(),
                                 endpoint ->
@@ -128,9 +128,8 @@
                 end().abort("no other endpoint is left");
             } else if (attempts.verdict() == Verdict.NOT_RUN) {
                 refuse(
-                        triedIncarnations.isEmpty()
-                                ? RefusalReason.NO_ENDPOINT
-                                : RefusalReason.UNREACHABLE);
+                        routed.reasonWithoutEndpoint(
+                                context.endpoints(), !triedIncarnations.isEmpty()));
             } else {
                 end().fail("no other endpoint is left");
             }
@@ -367,7 +366,8 @@
      * @param reason Why the request is refused otherwise.
      */
     private void refuse(RefusalReason reason) {
-        List<ServingEndpoint> endpoints = context.endpoints().endpointsOf(routed.service());
+        List<ServingEndpoint> endpoints =
+                routed.usable(context.endpoints()).endpointsOf(routed.service());
         long nowMillis = context.nowMillis();
         long closedMillis = context.backoffs().millisUntilOpen(endpoints, nowMillis).orElse(0);
         RefusalReason openReason =
--- a/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/exchange/RequestHandler.java
+++ b/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/exchange/RequestHandler.java
@@ -2,6 +2,7 @@
 
 import com.google.common.flogger.FluentLogger;
 import io.chicorytrestle.core.attempt.RefusalReason;
+import io.chicorytrestle.core.placement.RegionRestriction;
 import io.chicorytrestle.core.route.Route;
 import io.chicorytrestle.core.route.RoutingTable;
 import io.chicorytrestle.core.route.Workspace;
@@ -14,6 +15,7 @@
 import io.netty.handler.codec.http.HttpResponseStatus;
 import java.util.LinkedHashSet;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
 
@@ -42,6 +44,9 @@
     /** The state that all requests share. */
     private final GatewayContext context;
 
+    /** The region of each availability zone. */
+    private final Map<String, String> regionsByZone;
+
     /** The requests that are held until the state is received, in order of arrival. */
     private final Set<PendingRequest> pendingRequests = new LinkedHashSet<>();
 
@@ -60,9 +65,11 @@
      * Creates a handler that accepts requests.
      *
      * @param context The state that all requests share.
+     * @param regionsByZone The region of each availability zone.
      */
-    public RequestHandler(GatewayContext context) {
+    public RequestHandler(GatewayContext context, Map<String, String> regionsByZone) {
         this.context = context;
+        this.regionsByZone = Map.copyOf(regionsByZone);
         starter = new RequestStarter(context);
     }
 
@@ -76,12 +83,14 @@
     /**
      * Returns {@code true} if this instance has not received what it needs to route requests.
      *
-     * @return {@code true} until it has known a routing table and an endpoint, whether that accepts
-     *     work or not.
+     * @return {@code true} until it has known a routing table, the evacuated zones and an endpoint,
+     *     whether that accepts work or not.
      */
     public boolean isAwaitingState() {
         hasKnownEndpoints |= context.endpoints().hasEndpoints();
-        return !hasKnownEndpoints || !context.table().isPublished();
+        return !hasKnownEndpoints
+                || !context.table().isPublished()
+                || !context.evacuations().isKnown();
     }
 
     /** Routes the held requests, unless this instance still awaits its state. */
@@ -260,6 +269,10 @@
                 refuse(request, caller, RefusalReason.NO_TABLE);
                 return;
             }
+            if (!context.evacuations().isKnown()) {
+                refuse(request, caller, RefusalReason.NO_EVACUATIONS);
+                return;
+            }
             Optional<Route> route = table.route(request.host(), request.path());
             if (route.isEmpty()) {
                 reject(request.id(), caller, HttpResponseStatus.NOT_FOUND, "no route matches");
@@ -289,6 +302,10 @@
                             route.get().selectService(RequestSampler.sample(request.id())),
                             new EndpointRequestBuilder(
                                     context.dialect(), workspace, route.get(), head, body),
+                            new RegionRestriction(
+                                    regionsByZone,
+                                    route.get().allowedRegions(),
+                                    workspace.map(Workspace::allowedRegions).orElse(Set.of())),
                             crashHistory);
             Exchange newExchange = new Exchange(context, routed, caller, arrivedMillis);
             exchange = Optional.of(newExchange);
--- a/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/fleet/FleetCodec.java
+++ b/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/fleet/FleetCodec.java
@@ -36,6 +36,9 @@
     /** The number that starts an acknowledgement. */
     private static final int ACKNOWLEDGEMENT = 6;
 
+    /** The number that starts a notice of evacuated zones. */
+    private static final int EVACUATION_NOTICE = 7;
+
     /** Prevents instantiation. */
     private FleetCodec() {}
 
@@ -65,6 +68,10 @@
                 packer.packInt(PUBLISHED_TABLE);
                 packer.packString(published.sender());
                 pack(packer, published.table());
+            } else if (message instanceof EvacuationNotice notice) {
+                packer.packInt(EVACUATION_NOTICE);
+                packer.packString(notice.sender());
+                EvacuationCodec.pack(packer, notice.evacuations());
             } else if (message instanceof Acknowledgement) {
                 packer.packInt(ACKNOWLEDGEMENT);
             }
@@ -91,6 +98,9 @@
                 case ENDPOINT_CHANGES -> unpackChanges(unpacker);
                 case PUBLISHED_TABLE ->
                         new PublishedTable(unpacker.unpackString(), unpackBytes(unpacker));
+                case EVACUATION_NOTICE ->
+                        new EvacuationNotice(
+                                unpacker.unpackString(), EvacuationCodec.unpack(unpacker));
                 case ACKNOWLEDGEMENT -> Acknowledgement.INSTANCE;
                 default -> throw new IOException("Unknown kind of message: " + kind);
             };
@@ -142,6 +152,7 @@
             packer.packInt(crash.otherCompletions());
         }
         CrashCodec.packRecords(packer, heartbeat.crashes());
+        EvacuationCodec.pack(packer, heartbeat.evacuations());
     }
 
     /**
@@ -198,7 +209,8 @@
                 crashes,
                 peers,
                 promptReads,
-                partCrashes);
+                partCrashes,
+                EvacuationCodec.unpack(unpacker));
     }
 
     /**
@@ -290,6 +302,7 @@
         CrashCodec.packRecords(packer, snapshot.crashes());
         CrashCodec.packPartRecords(packer, snapshot.partCrashes());
         ColdReportCodec.pack(packer, snapshot.coldReports());
+        EvacuationCodec.pack(packer, snapshot.evacuations());
     }
 
     /**
@@ -316,7 +329,8 @@
                 endpoints,
                 crashes,
                 partCrashes,
-                ColdReportCodec.unpack(unpacker));
+                ColdReportCodec.unpack(unpacker),
+                EvacuationCodec.unpack(unpacker));
     }
 
     /**
--- a/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/fleet/FleetState.java
+++ b/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/fleet/FleetState.java
@@ -6,6 +6,7 @@
 import io.chicorytrestle.core.placement.ColdEndpoints;
 import io.chicorytrestle.core.placement.ColdReport;
 import io.chicorytrestle.core.placement.EndpointDirectory;
+import io.chicorytrestle.core.placement.Evacuations;
 import io.chicorytrestle.core.placement.PlacementTopics;
 import io.chicorytrestle.core.placement.ServingEndpoint;
 import io.chicorytrestle.core.placement.ServingView;
@@ -16,6 +17,7 @@
 import java.util.Collection;
 import java.util.List;
 import java.util.Optional;
+import java.util.Set;
 import java.util.function.Consumer;
 
 /**
@@ -166,6 +168,18 @@
         publish(directory.replace(endpoints, nowMillis), peer, nowMillis);
     }
 
+    /**
+     * Applies the endpoints of a snapshot, after what it states of those that are cold.
+     *
+     * @param snapshot The snapshot.
+     * @param nowMillis The current time in milliseconds.
+     */
+    public void applyFromPeer(Snapshot snapshot, long nowMillis) {
+        recordCold(snapshot.coldReports(), nowMillis);
+        applyFromPeer(
+                snapshot.endpoints(), snapshot.endpointRevision(), snapshot.sender(), nowMillis);
+    }
+
     /**
      * Applies changes that this instance or another reader of the zone read from the store. Changes
      * that are old or leave a gap are ignored, except that leaving endpoints are marked so; the
@@ -268,6 +282,46 @@
         return coldEndpoints;
     }
 
+    /**
+     * Accepts a set of evacuated zones unless a newer one is known, and logs each zone for which
+     * that changes what this instance does.
+     *
+     * @param evacuations The set.
+     * @param source The peer or the store that delivered it; logged.
+     * @param nowMillis The current time in milliseconds.
+     * @return {@code true} if the set is new to this instance.
+     */
+    public boolean acceptEvacuations(Evacuations evacuations, String source, long nowMillis) {
+        if (evacuations.revision() <= directory.evacuations().revision()) {
+            return false;
+        }
+        Set<String> changed = directory.accept(evacuations, nowMillis);
+        for (String zone : changed) {
+            LOGGER.atInfo()
+                    .with(LogFields.ZONE, zone)
+                    .with(
+                            LogFields.OUTCOME,
+                            evacuations.zones().contains(zone) ? "evacuated" : "taken back")
+                    .with(LogFields.VERSION, evacuations.revision())
+                    .with(LogFields.REASON, source)
+                    .log("zone_evacuation_changed");
+        }
+        if (!changed.isEmpty()) {
+            refreshServingView(nowMillis);
+        }
+        blackboard.write(PlacementTopics.EVACUATIONS, evacuations);
+        return true;
+    }
+
+    /**
+     * Returns the newest known set of evacuated zones.
+     *
+     * @return The set, sent to peers in heartbeats and snapshots.
+     */
+    public Evacuations evacuations() {
+        return directory.evacuations();
+    }
+
     @Override
     public void step(long nowMillis) {
         coldEndpoints.removeExpired(directory.all(), nowMillis);
--- a/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/fleet/Snapshot.java
+++ b/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/fleet/Snapshot.java
@@ -1,6 +1,7 @@
 package io.chicorytrestle.gateway.fleet;
 
 import io.chicorytrestle.core.placement.ColdReport;
+import io.chicorytrestle.core.placement.Evacuations;
 import io.chicorytrestle.core.placement.ServingEndpoint;
 import io.chicorytrestle.core.poison.CrashNotice;
 import io.chicorytrestle.core.poison.PartCrashNotice;
@@ -19,6 +20,7 @@
  * @param crashes The crashes by request content that the sender has recorded.
  * @param partCrashes The crashes by prompt part that the sender has recorded.
  * @param coldReports What entries stated of how long their endpoints are cold, with the time left.
+ * @param evacuations The zones that the operator has evacuated, as known to the sender.
  */
 public record Snapshot(
         String sender,
@@ -27,7 +29,8 @@
         List<ServingEndpoint> endpoints,
         List<CrashNotice> crashes,
         List<PartCrashNotice> partCrashes,
-        List<ColdReport> coldReports)
+        List<ColdReport> coldReports,
+        Evacuations evacuations)
         implements FleetMessage {
 
     /** Makes the table read-only and copies the lists. */
@@ -38,24 +41,4 @@
         partCrashes = List.copyOf(partCrashes);
         coldReports = List.copyOf(coldReports);
     }
-
-    /**
-     * Creates a snapshot whose endpoints' entries stated nothing of being cold.
-     *
-     * @param sender The name of the instance.
-     * @param table The encoded routing table as it was published, or empty.
-     * @param endpointRevision The store's revision of the newest change of endpoints.
-     * @param endpoints The endpoints known to the sender.
-     * @param crashes The crashes by request content that the sender has recorded.
-     * @param partCrashes The crashes by prompt part that the sender has recorded.
-     */
-    public Snapshot(
-            String sender,
-            ByteBuffer table,
-            long endpointRevision,
-            List<ServingEndpoint> endpoints,
-            List<CrashNotice> crashes,
-            List<PartCrashNotice> partCrashes) {
-        this(sender, table, endpointRevision, endpoints, crashes, partCrashes, List.of());
-    }
 }
--- a/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/fleet/SnapshotFactory.java
+++ b/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/fleet/SnapshotFactory.java
@@ -48,6 +48,7 @@
                 hasEndpoints ? List.copyOf(fleetState.endpoints()) : List.of(),
                 observations.crashes().records(nowMillis),
                 observations.partCrashes().records(nowMillis),
-                hasEndpoints ? fleetState.coldEndpoints().reports(nowMillis) : List.of());
+                hasEndpoints ? fleetState.coldEndpoints().reports(nowMillis) : List.of(),
+                fleetState.evacuations());
     }
 }
--- a/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/settings/GatewaySettings.java
+++ b/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/settings/GatewaySettings.java
@@ -2,6 +2,7 @@
 
 import io.chicorytrestle.core.placement.ColdStartBound;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 
 /**
@@ -23,6 +24,7 @@
  * @param loadMultiple The bound on an endpoint's load, as a multiple of the mean load.
  * @param coldStartBound The bound on requests to cold endpoints, fleet-wide, or empty if there is
  *     none.
+ * @param zoneRegions The region of each availability zone, by the name of the zone.
  */
 public record GatewaySettings(
         String instanceName,
@@ -38,10 +40,12 @@
         double retryRatio,
         double retrySlack,
         double loadMultiple,
-        Optional<ColdStartBound> coldStartBound) {
+        Optional<ColdStartBound> coldStartBound,
+        Map<String, String> zoneRegions) {
 
-    /** Makes an immutable copy of the seeds. */
+    /** Makes immutable copies of the collections. */
     public GatewaySettings {
         seeds = List.copyOf(seeds);
+        zoneRegions = Map.copyOf(zoneRegions);
     }
 }
--- a/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/settings/SettingsParser.java
+++ b/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/settings/SettingsParser.java
@@ -5,6 +5,7 @@
 import io.chicorytrestle.gateway.document.MalformedDocumentException;
 import io.chicorytrestle.gateway.link.Addresses;
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -69,7 +70,8 @@
                         requiredNumber("retry_ratio", 0),
                         requiredNumber("retry_slack", 0),
                         requiredNumber("load_multiple", 1),
-                        optionalColdStartBound());
+                        optionalColdStartBound(),
+                        optionalTexts("zone_regions"));
         if (!faults.isEmpty()) {
             throw new InvalidSettingsException(faults);
         }
@@ -154,6 +156,23 @@
                         requiredNumber("cold_start_slack", 0)));
     }
 
+    /**
+     * Reads an optional object whose values are texts.
+     *
+     * @param name The name of the setting.
+     * @return The texts by their names, none if the setting is absent or not such an object.
+     */
+    private Map<String, String> optionalTexts(String name) {
+        Object value = values.get(name);
+        Map<String, String> texts = new HashMap<>();
+        if (value instanceof Map<?, ?> object) {
+            object.forEach((key, text) -> texts.put(String.valueOf(key), String.valueOf(text)));
+        } else if (value != null) {
+            faults.add(name + ": an object is required");
+        }
+        return texts;
+    }
+
     /**
      * Reads a required number.
      *
