Send large routing tables compressed

The size is checked before memory is taken and again after inflating. An instance of an earlier version can't read the compressed form: it drops the connection and has the table from the store.

Test: TableBytesTest holds the bytes of a table of 1,600 routes on the link, the bounds and damaged bytes.

--- a/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/fleet/FleetCodec.java
+++ b/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/fleet/FleetCodec.java
@@ -64,7 +64,7 @@
             } else if (message instanceof PublishedTable published) {
                 packer.packInt(PUBLISHED_TABLE);
                 packer.packString(published.sender());
-                pack(packer, published.table());
+                TableBytes.pack(packer, published.table());
             } else if (message instanceof Acknowledgement) {
                 packer.packInt(ACKNOWLEDGEMENT);
             }
@@ -90,7 +90,7 @@
                 case SNAPSHOT -> unpackSnapshot(unpacker);
                 case ENDPOINT_CHANGES -> unpackChanges(unpacker);
                 case PUBLISHED_TABLE ->
-                        new PublishedTable(unpacker.unpackString(), unpackBytes(unpacker));
+                        new PublishedTable(unpacker.unpackString(), TableBytes.unpack(unpacker));
                 case ACKNOWLEDGEMENT -> Acknowledgement.INSTANCE;
                 default -> throw new IOException("Unknown kind of message: " + kind);
             };
@@ -284,7 +284,7 @@
      */
     private static void pack(MessageBufferPacker packer, Snapshot snapshot) throws IOException {
         packer.packString(snapshot.sender());
-        pack(packer, snapshot.table());
+        TableBytes.pack(packer, snapshot.table());
         packer.packLong(snapshot.endpointRevision());
         pack(packer, snapshot.endpoints());
         CrashCodec.packRecords(packer, snapshot.crashes());
@@ -301,7 +301,7 @@
      */
     private static Snapshot unpackSnapshot(MessageUnpacker unpacker) throws IOException {
         String sender = unpacker.unpackString();
-        ByteBuffer table = unpackBytes(unpacker);
+        ByteBuffer table = TableBytes.unpack(unpacker);
         long endpointRevision = unpacker.unpackLong();
         List<ServingEndpoint> endpoints = unpackEndpoints(unpacker);
         // Instances of earlier versions end their snapshots here.
@@ -333,31 +333,6 @@
                 knownTableVersion, unpacker.hasNext() ? unpacker.unpackLong() : 0);
     }
 
-    /**
-     * Writes bytes, preceded by their number.
-     *
-     * @param packer Receives the bytes.
-     * @param bytes The bytes; the position of the buffer is unchanged.
-     * @throws IOException Never, since the output is memory.
-     */
-    private static void pack(MessageBufferPacker packer, ByteBuffer bytes) throws IOException {
-        byte[] copy = new byte[bytes.remaining()];
-        bytes.duplicate().get(copy);
-        packer.packBinaryHeader(copy.length);
-        packer.writePayload(copy);
-    }
-
-    /**
-     * Reads bytes, preceded by their number.
-     *
-     * @param unpacker Supplies the bytes.
-     * @return The bytes.
-     * @throws IOException If the message is malformed.
-     */
-    private static ByteBuffer unpackBytes(MessageUnpacker unpacker) throws IOException {
-        return ByteBuffer.wrap(unpacker.readPayload(unpacker.unpackBinaryHeader()));
-    }
-
     /**
      * Writes endpoint changes.
      *
--- a/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/fleet/FleetConnection.java
+++ b/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/fleet/FleetConnection.java
@@ -20,7 +20,7 @@
 final class FleetConnection {
 
     /** The maximum size of a frame in bytes: a value of the store, with room for the endpoints. */
-    private static final int MAXIMUM_FRAME_BYTES = 2_097_152;
+    static final int MAXIMUM_FRAME_BYTES = 2_097_152;
 
     /**
      * The longest time in milliseconds for which writes may be pending, enough for a routing table
