Bound the sum of what an instance holds for its callers

Cause: each connection had bounds and their sum had none, except for the bytes of bodies, which were counted without their buffers and copies. The next request of a connection was served however much of the answers before was unread, and nothing bounded the number of connections. Change: HeldBytes counts by connection and place what is held, and decides who yields: the caller that holds most and moves least. Answers are written in parts, the next request waits until the answers before were taken, and requests sent ahead wait undecoded. Limits come from the heap and from the new settings machine_memory_mb, machine_descriptors and unread_timeout_ms. A second request of a connection whose body is refused gets its refusal, since the state of the response before no longer counts.

--- a/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/Gateway.java
+++ b/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/Gateway.java
@@ -19,6 +19,7 @@
 import io.chicorytrestle.gateway.fleet.FleetState;
 import io.chicorytrestle.gateway.fleet.PeerAddress;
 import io.chicorytrestle.gateway.fleet.TableCodec;
+import io.chicorytrestle.gateway.front.CallerLimits;
 import io.chicorytrestle.gateway.front.FrontHttpServer;
 import io.chicorytrestle.gateway.front.HttpRequestHandler;
 import io.chicorytrestle.gateway.link.Addresses;
@@ -56,12 +57,6 @@
      */
     private static final long HEARTBEAT_INTERVAL_MILLIS = 400;
 
-    /**
-     * The divisor of the maximum heap that gives the memory for request bodies. As much again is
-     * needed for the copies made when the bodies are sent.
-     */
-    private static final int HEAP_TO_BODY_RATIO = 4;
-
     /**
      * The share of the allowed multiple of the mean load that is used, because load counts arrive
      * with a delay.
@@ -179,8 +174,10 @@
         requestHandler = new RequestHandler(context);
         blackboard.addListener(RouteTopics.ROUTING_TABLE, table -> handleNewState());
         blackboard.addListener(PlacementTopics.SERVING, view -> handleNewState());
-        callerServer = server(settings.callerAddress(), requestHandler, limits);
-        ready = server(settings.readyAddress(), text(this::readiness), () -> RequestLimits.DEFAULT);
+        CallerLimits callerLimits = CallerLimits.forCallers(settings.machineLimits(), metrics);
+        controllers.add(callerLimits.held()::step);
+        callerServer = server(settings.callerAddress(), requestHandler, limits, callerLimits);
+        ready = createReadyServer();
         metricsServer = createMetricsServer(metricsPort);
         fleet =
                 new FleetChannel(
@@ -238,10 +235,14 @@
      * @param address The address to bind, as IP number and port.
      * @param handler Handles the requests.
      * @param limits Supplies the limits for the size and duration of requests.
+     * @param callerLimits The limits over all connections.
      * @return The server, which does not listen yet.
      */
     private FrontHttpServer server(
-            String address, HttpRequestHandler handler, Supplier<RequestLimits> limits) {
+            String address,
+            HttpRequestHandler handler,
+            Supplier<RequestLimits> limits,
+            CallerLimits callerLimits) {
         return new FrontHttpServer(
                 reactor,
                 Addresses.parse(address),
@@ -253,7 +254,20 @@
                                 .with(LogFields.STATUS, status.code())
                                 .with(LogFields.REASON, reason)
                                 .log("request_malformed"),
-                Runtime.getRuntime().maxMemory() / HEAP_TO_BODY_RATIO);
+                callerLimits);
+    }
+
+    /**
+     * Creates the server for the readiness check.
+     *
+     * @return The server, which does not listen yet.
+     */
+    private FrontHttpServer createReadyServer() {
+        return server(
+                settings.readyAddress(),
+                text(this::readiness),
+                () -> RequestLimits.DEFAULT,
+                CallerLimits.forOperators());
     }
 
     /**
@@ -267,7 +281,8 @@
         return server(
                 peerAddress.getAddress().getHostAddress() + ':' + port,
                 text(() -> LocalResponses.plainText(HttpResponseStatus.OK, metrics.render())),
-                () -> RequestLimits.DEFAULT);
+                () -> RequestLimits.DEFAULT,
+                CallerLimits.forOperators());
     }
 
     /**
--- a/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/exchange/Attempt.java
+++ b/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/exchange/Attempt.java
@@ -8,13 +8,13 @@
 import io.chicorytrestle.gateway.endpoint.EndpointConnection;
 import io.chicorytrestle.gateway.endpoint.ResponseListener;
 import io.chicorytrestle.gateway.link.BodyFraming;
+import io.chicorytrestle.gateway.link.SegmentedBuffer;
 import io.netty.buffer.ByteBuf;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpStatusClass;
-import java.io.ByteArrayOutputStream;
 import java.util.function.Supplier;
 import org.jspecify.annotations.Nullable;
 
@@ -30,6 +30,9 @@
     /** The size in bytes beyond which a buffered body is forwarded before it is complete. */
     private static final int MAXIMUM_BUFFERED_BYTES = 262_144;
 
+    /** The same while memory is short. */
+    private static final int MAXIMUM_BUFFERED_BYTES_IF_SHORT = 16_384;
+
     /** The state that all requests share. */
     private final GatewayContext context;
 
@@ -43,7 +46,7 @@
     private final ProgressMonitor progressMonitor;
 
     /** The body of a response that is forwarded only once it is complete. */
-    private final ByteArrayOutputStream bufferedBody = new ByteArrayOutputStream(0);
+    private final SegmentedBuffer bufferedBody = new SegmentedBuffer();
 
     /** The bytes of a body that no caller receives. */
     private long discardedBytes;
@@ -326,15 +329,18 @@
         } else if (handling == ResponseHandling.BUFFER) {
             byte[] bytes = new byte[content.readableBytes()];
             content.readBytes(bytes);
-            bufferedBody.writeBytes(bytes);
+            bufferedBody.append(bytes, 0, bytes.length);
+            boolean hasMemory = exchange.caller().holdBuffered(bufferedBody.size());
             if (bufferedBody.size() > MAXIMUM_BUFFERED_BYTES && exchange.isResponseStarted()) {
                 rejectResponse("failure of a resumed stream is too large to be read");
-            } else if (bufferedBody.size() > MAXIMUM_BUFFERED_BYTES && head != null) {
+            } else if (bufferedBody.size() > maximumBufferedBytes(hasMemory)
+                    && !exchange.isResponseStarted()
+                    && head != null) {
                 handling = ResponseHandling.STREAM;
+                exchange.caller().holdBuffered(0);
                 exchange.onStreamStarted(this, head);
                 exchange.onStreamContent(
-                        this, io.netty.buffer.Unpooled.wrappedBuffer(bufferedBody.toByteArray()));
-                bufferedBody.reset();
+                        this, io.netty.buffer.Unpooled.wrappedBuffer(bufferedBody.take()));
             }
         } else {
             discardedBytes += content.readableBytes();
@@ -345,6 +351,16 @@
         }
     }
 
+    /**
+     * Returns the size beyond which a buffered body is forwarded before it is complete.
+     *
+     * @param hasMemory Whether the instance holds no more than it may.
+     * @return The size in bytes.
+     */
+    private static int maximumBufferedBytes(boolean hasMemory) {
+        return hasMemory ? MAXIMUM_BUFFERED_BYTES : MAXIMUM_BUFFERED_BYTES_IF_SHORT;
+    }
+
     /** Stops reading from the endpoint until the caller has read what was forwarded. */
     private void pauseWhileCongested() {
         EndpointConnection reading = connection;
@@ -386,7 +402,7 @@
                             Verdict.MAY_HAVE_RUN,
                             "endpoint responded with " + response.status());
             case STREAM -> exchange.onStreamCompleted(this, response);
-            case BUFFER -> exchange.onResponse(this, response, bufferedBody.toByteArray());
+            case BUFFER -> exchange.onResponse(this, response, bufferedBody.take());
         }
     }
 
--- a/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/exchange/EventStreamSplitter.java
+++ b/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/exchange/EventStreamSplitter.java
@@ -1,6 +1,7 @@
 package io.chicorytrestle.gateway.exchange;
 
 import io.chicorytrestle.gateway.link.BodyFraming;
+import io.chicorytrestle.gateway.link.SegmentedBuffer;
 import io.netty.buffer.ByteBuf;
 import java.nio.charset.StandardCharsets;
 import java.util.Optional;
--- a/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/exchange/ResponseRelay.java
+++ b/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/exchange/ResponseRelay.java
@@ -100,6 +100,7 @@
         byte[] bytes;
         if (isEventStream) {
             bytes = splitter.append(content);
+            caller.holdBuffered(splitter.partialEventBytes());
         } else {
             bytes = new byte[content.readableBytes()];
             content.readBytes(bytes);
--- a/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/front/CallerConnection.java
+++ b/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/front/CallerConnection.java
@@ -2,11 +2,14 @@
 
 import io.activej.net.socket.tcp.ITcpSocket;
 import io.activej.reactor.schedule.ScheduledRunnable;
+import io.chicorytrestle.core.admission.HeldBytes;
 import io.chicorytrestle.core.route.RequestLimits;
 import io.chicorytrestle.gateway.link.HeadAwareResponseEncoder;
 import io.chicorytrestle.gateway.link.HttpConnection;
 import io.chicorytrestle.gateway.link.LocalResponses;
+import io.chicorytrestle.gateway.link.SegmentedBuffer;
 import io.chicorytrestle.gateway.link.StrictRequestDecoder;
+import io.netty.handler.codec.http.FullHttpResponse;
 import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaderValues;
@@ -19,14 +22,22 @@
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.handler.codec.http.TooLongHttpHeaderException;
 import io.netty.handler.codec.http.TooLongHttpLineException;
-import java.io.ByteArrayOutputStream;
 import org.jspecify.annotations.Nullable;
 
 /**
  * Serves one caller's connection: reads its requests one at a time and detects when the caller
  * disconnects. Confined to the event loop thread.
  */
-final class CallerConnection implements HttpConnection.Listener, ResponseSink {
+final class CallerConnection implements HttpConnection.Listener, ResponseSink, HeldBytes.Owner {
+
+    /** The memory in bytes that a request takes until it is complete, besides its body. */
+    private static final long RECEIVE_BUFFER_BYTES = 16_384;
+
+    /** The memory in bytes of what an endpoint has sent while reading from it is paused. */
+    private static final long PAUSED_ENDPOINT_BYTES = 32_768;
+
+    /** The copies of a body: as received and as sent to an endpoint. */
+    private static final long BODY_COPIES = 2;
 
     /** The server that accepted this connection. */
     private final FrontHttpServer server;
@@ -43,10 +54,11 @@
     /** The head of the request being received or processed, or null between requests. */
     private @Nullable HttpRequest requestHead;
 
-    /**
-     * The body bytes received so far; reserved with the server and released when the response ends.
-     */
-    private ByteArrayOutputStream requestBody = new ByteArrayOutputStream(0);
+    /** The body bytes received so far. */
+    private final SegmentedBuffer requestBody = new SegmentedBuffer();
+
+    /** What is held for this caller. */
+    private final HeldBytes.Account account;
 
     /**
      * Cancels the work on the current request when the caller disconnects; null between requests.
@@ -92,6 +104,7 @@
         this.requestLimits = limits;
         acceptedMillis = server.nowMillis();
         establishedMillis = server.earliestEstablishmentMillis();
+        account = server.held().open(this, acceptedMillis);
         connection =
                 HttpConnection.of(
                         socket, this, new StrictRequestDecoder(limits.headerBytes()), encoder);
@@ -119,9 +132,87 @@
     void close() {
         stopTimer();
         connection.close();
+        requestBody.clear();
+        account.close();
         server.removeConnection(this);
-        server.releaseBodyBytes(requestBody.size());
-        requestBody = new ByteArrayOutputStream(0);
+    }
+
+    /** Updates what is held of the answer, and what the connection is waiting for. */
+    private void updateAnswer() {
+        account.hold(
+                HeldBytes.Place.ANSWER,
+                connection.unwrittenBytes()
+                        + (connection.isCongested() ? PAUSED_ENDPOINT_BYTES : 0));
+        account.enter(phase());
+        server.relieveIfNeeded();
+    }
+
+    /**
+     * Returns what the connection is waiting for.
+     *
+     * @return The phase.
+     */
+    private HeldBytes.Phase phase() {
+        if (!connection.isDrained()) {
+            return HeldBytes.Phase.UNREAD;
+        }
+        if (isResponding) {
+            return HeldBytes.Phase.RUNNING;
+        }
+        return requestHead != null || isHeadPending
+                ? HeldBytes.Phase.RECEIVING
+                : HeldBytes.Phase.IDLE;
+    }
+
+    /**
+     * Writes a part of an answer, whose caller has from now on to take it.
+     *
+     * @param part The part.
+     */
+    private void write(HttpObject part) {
+        if (connection.isDrained()) {
+            account.recordMoved(0, server.nowMillis());
+        }
+        connection.write(part);
+        updateAnswer();
+    }
+
+    /** Counts the buffers of a request whose rest is awaited. */
+    private void beginReceiving() {
+        account.enter(HeldBytes.Phase.RECEIVING);
+        account.hold(HeldBytes.Place.RECEIVE_BUFFER, RECEIVE_BUFFER_BYTES);
+    }
+
+    @Override
+    public boolean holdBuffered(long bytes) {
+        account.hold(HeldBytes.Place.BUFFERED, bytes);
+        server.relieveIfNeeded();
+        return !server.held().isOverBound();
+    }
+
+    @Override
+    public void onBytesWritten(int size) {
+        account.recordMoved(size, server.nowMillis());
+        updateAnswer();
+    }
+
+    /**
+     * Refuses a request that is not complete, and closes the connection otherwise: it is idle, or
+     * its caller leaves answers unread.
+     */
+    @Override
+    public void yieldFor(HeldBytes.Reason reason) {
+        server.reportYield(reason);
+        if (isResponding || !connection.isDrained() || (requestHead == null && !isHeadPending)) {
+            handleDisconnect();
+        } else {
+            refuse();
+        }
+    }
+
+    /** Refuses a request that is not complete and has not run, and closes the connection. */
+    private void refuse() {
+        endWith(LocalResponses.instanceFull(server.retryAfterMillis()));
     }
 
     @Override
@@ -130,7 +221,12 @@
             isHeadPending = true;
             arrivedMillis = earliestArrivalMillis();
             startTimer(requestLimits.headerTimeoutMillis());
+            beginReceiving();
+        } else if (isResponding) {
+            account.hold(HeldBytes.Place.AHEAD, connection.undeliveredBytes());
+            server.relieveIfNeeded();
         }
+        account.recordMoved(0, server.nowMillis());
     }
 
     /**
@@ -193,6 +289,7 @@
         }
         requestHead = request;
         isHeadPending = false;
+        beginReceiving();
         startTimer(requestLimits.idleTimeoutMillis());
         return true;
     }
@@ -209,13 +306,17 @@
                 reject(HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE, "body is too long");
                 return;
             }
-            if (!server.reserveBodyBytes(size)) {
-                reject(HttpResponseStatus.SERVICE_UNAVAILABLE, "instance holds too many bodies");
+            long nowMillis = server.nowMillis();
+            account.recordMoved(size, nowMillis);
+            if (!server.held().makeRoom(account, BODY_COPIES * size, nowMillis)) {
+                server.reportYield(HeldBytes.Reason.MEMORY);
+                refuse();
                 return;
             }
             byte[] bytes = new byte[size];
             content.content().readBytes(bytes);
-            requestBody.writeBytes(bytes);
+            requestBody.append(bytes, 0, size);
+            account.hold(HeldBytes.Place.BODY, BODY_COPIES * requestBody.size());
         }
         if (content instanceof LastHttpContent) {
             dispatchRequest();
@@ -237,7 +338,10 @@
         isResponseStarted = false;
         closesAfterResponse = !HttpUtil.isKeepAlive(request);
         encoder.setHeadRequest(request.method().equals(HttpMethod.HEAD));
-        byte[] body = requestBody.toByteArray();
+        account.hold(HeldBytes.Place.RECEIVE_BUFFER, 0);
+        account.hold(HeldBytes.Place.AHEAD, connection.undeliveredBytes());
+        account.enter(HeldBytes.Phase.RUNNING);
+        byte[] body = requestBody.take();
         Runnable action = server.handler().handle(request, body, arrivedMillis, this);
         if (isResponding) {
             onCallerDisconnect = action;
@@ -252,13 +356,13 @@
         if (closesAfterResponse) {
             response.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
         }
-        connection.write(response);
+        write(response);
     }
 
     @Override
     public void send(HttpContent content) {
         boolean isEnd = content instanceof LastHttpContent;
-        connection.write(content);
+        write(content);
         if (isEnd) {
             finishResponse();
         }
@@ -266,22 +370,31 @@
 
     /** Closes the connection after a complete response, or prepares it for the next request. */
     private void finishResponse() {
-        server.releaseBodyBytes(requestBody.size());
-        requestBody = new ByteArrayOutputStream(0);
+        account.hold(HeldBytes.Place.BODY, 0);
+        account.hold(HeldBytes.Place.BUFFERED, 0);
         requestHead = null;
         onCallerDisconnect = null;
         isResponding = false;
+        isResponseStarted = false;
+        updateAnswer();
         if (connection.isClosed()) {
             close();
         } else if (closesAfterResponse || isInputEnded) {
             connection.whenDrained(this::close);
+        } else if (connection.isCongested()) {
+            connection.whenDrained(this::awaitNextRequest);
         } else {
-            startTimer(requestLimits.idleTimeoutMillis());
-            arrivedMillis = server.earliestArrivalMillis();
-            connection.resumeDelivery();
+            awaitNextRequest();
         }
     }
 
+    /** Serves the next request, which may have been sent ahead. */
+    private void awaitNextRequest() {
+        startTimer(requestLimits.idleTimeoutMillis());
+        arrivedMillis = server.earliestArrivalMillis();
+        connection.resumeDelivery();
+    }
+
     @Override
     public void abort() {
         isResponding = false;
@@ -329,16 +442,31 @@
      * @param reason What was rejected and why; sent as the response body.
      */
     private void reject(HttpResponseStatus status, String reason) {
-        stopTimer();
         server.reportRejection(status, reason);
+        endWith(LocalResponses.closingConnection(status, reason));
+    }
+
+    /**
+     * Ends the connection with a response to a request that was not passed to the handler. If a
+     * response is already partly sent, the connection is aborted instead.
+     *
+     * @param response The response, which announces the end of the connection.
+     */
+    private void endWith(FullHttpResponse response) {
+        stopTimer();
         connection.suspendDelivery();
         closesAfterResponse = true;
         isResponding = true;
         if (isResponseStarted && requestHead != null) {
+            response.release();
             abort();
             return;
         }
-        connection.write(LocalResponses.closingConnection(status, reason));
+        requestBody.clear();
+        account.hold(HeldBytes.Place.BODY, 0);
+        account.hold(HeldBytes.Place.RECEIVE_BUFFER, 0);
+        timer = server.schedule(requestLimits.idleTimeoutMillis(), this::close);
+        connection.write(response);
         connection.whenDrained(this::close);
     }
 
--- a/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/front/FrontHttpServer.java
+++ b/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/front/FrontHttpServer.java
@@ -6,6 +6,8 @@
 import io.activej.reactor.net.SocketSettings;
 import io.activej.reactor.nio.NioReactor;
 import io.activej.reactor.schedule.ScheduledRunnable;
+import io.chicorytrestle.core.admission.HeldBytes;
+import io.chicorytrestle.core.attempt.RefusalReason;
 import io.chicorytrestle.core.route.RequestLimits;
 import io.chicorytrestle.gateway.link.EventLoopLag;
 import io.netty.handler.codec.http.HttpResponseStatus;
@@ -17,6 +19,7 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Set;
+import java.util.concurrent.ThreadLocalRandom;
 import java.util.function.BiConsumer;
 import java.util.function.Supplier;
 import org.jspecify.annotations.Nullable;
@@ -34,6 +37,12 @@
      */
     private static final long ASSUMED_PAUSE_MILLIS = 100;
 
+    /** The remaining time in milliseconds that is assumed for a caller that is refused. */
+    private static final long ASSUMED_REMAINING_MILLIS = 10_000;
+
+    /** The interval in milliseconds at which a full server looks for room for a connection. */
+    private static final long FULL_PAUSE_MILLIS = 50;
+
     /** The largest error in milliseconds of a comparison of two rounded times and a duration. */
     static final long ROUNDING_MILLIS = 2;
 
@@ -71,11 +80,14 @@
     /** The open connections, idle ones included. */
     private final Set<CallerConnection> connections = new HashSet<>();
 
-    /** The maximum request body bytes buffered over all connections. */
-    private final long maximumBufferedBytes;
+    /** The limits over all connections. */
+    private final CallerLimits callerLimits;
+
+    /** Whether callers yield at the end of the turn of the event loop. */
+    private boolean isReliefScheduled;
 
-    /** The request body bytes buffered over all connections. */
-    private long bufferedBytes;
+    /** Whether new connections wait until one is closed. */
+    private boolean isFull;
 
     /** Whether connections close after their next response. */
     private boolean isDraining;
@@ -90,7 +102,7 @@
      * @param limits Supplies the current request limits, read once for each accepted connection.
      * @param rejectionObserver Called for each request that was rejected before it reached the
      *     handler.
-     * @param maximumBufferedBytes The maximum request body bytes buffered over all connections.
+     * @param callerLimits The limits over all connections.
      */
     public FrontHttpServer(
             NioReactor reactor,
@@ -99,13 +111,13 @@
             HttpRequestHandler handler,
             Supplier<RequestLimits> limits,
             BiConsumer<HttpResponseStatus, String> rejectionObserver,
-            long maximumBufferedBytes) {
+            CallerLimits callerLimits) {
         this.reactor = reactor;
         this.eventLoopLag = eventLoopLag;
         this.handler = handler;
         this.requestLimits = limits;
         this.rejectionObserver = rejectionObserver;
-        this.maximumBufferedBytes = maximumBufferedBytes;
+        this.callerLimits = callerLimits;
         this.address = address;
     }
 
@@ -146,7 +158,7 @@
         SelectionKey key =
                 listeningSocket == null ? null : listeningSocket.keyFor(reactor.ensureSelector());
         if (key != null && key.isValid()) {
-            key.interestOps(isPaused ? 0 : SelectionKey.OP_ACCEPT);
+            key.interestOps(isPaused || isFull ? 0 : SelectionKey.OP_ACCEPT);
         }
     }
 
@@ -195,6 +207,12 @@
      * @param channel The accepted socket.
      */
     private void acceptConnection(SocketChannel channel) {
+        if (!held().makeRoomForAccount(nowMillis())) {
+            reactor.closeChannel(channel, null);
+            reportYield(HeldBytes.Reason.CONNECTIONS);
+            awaitRoom();
+            return;
+        }
         ITcpSocket socket;
         try {
             InetSocketAddress caller = (InetSocketAddress) channel.getRemoteAddress();
@@ -207,6 +225,29 @@
         CallerConnection connection = new CallerConnection(this, socket, requestLimits.get());
         connections.add(connection);
         connection.start();
+        if (!held().hasRoomForAccount(nowMillis())) {
+            awaitRoom();
+        }
+    }
+
+    /** Leaves new connections to the operating system until one more can be held. */
+    private void awaitRoom() {
+        if (!isFull) {
+            isFull = true;
+            updateInterest();
+            schedule(FULL_PAUSE_MILLIS, this::endWaitForRoom);
+        }
+    }
+
+    /** Accepts connections again if one can be held. */
+    private void endWaitForRoom() {
+        if (held().hasRoomForAccount(nowMillis())) {
+            isFull = false;
+            resumedMillis = nowMillis();
+            updateInterest();
+        } else {
+            schedule(FULL_PAUSE_MILLIS, this::endWaitForRoom);
+        }
     }
 
     /**
@@ -269,27 +310,46 @@
     }
 
     /**
-     * Reserves buffer memory for part of a request body.
+     * Returns what is held for callers.
      *
-     * @param bytes The number of bytes.
-     * @return {@code false} if the limit over all connections would be exceeded; nothing is
-     *     reserved then.
+     * @return The ledger of all connections.
+     */
+    HeldBytes held() {
+        return callerLimits.held();
+    }
+
+    /**
+     * Lets callers yield at the end of the turn of the event loop if too much is held, so that no
+     * connection closes while it is sending.
      */
-    boolean reserveBodyBytes(int bytes) {
-        if (bufferedBytes + bytes > maximumBufferedBytes) {
-            return false;
+    void relieveIfNeeded() {
+        if (held().isOverBound() && !isReliefScheduled) {
+            isReliefScheduled = true;
+            reactor.postLast(
+                    () -> {
+                        isReliefScheduled = false;
+                        held().relieve(nowMillis());
+                    });
         }
-        bufferedBytes += bytes;
-        return true;
     }
 
     /**
-     * Releases memory reserved for a request body.
+     * Returns when a caller may come back whose request was refused for the instance's memory.
+     *
+     * @return The delay in milliseconds.
+     */
+    long retryAfterMillis() {
+        return RefusalReason.INSTANCE_FULL.retryAfterMillis(
+                ASSUMED_REMAINING_MILLIS, ThreadLocalRandom.current().nextDouble());
+    }
+
+    /**
+     * Reports a caller that yields.
      *
-     * @param bytes The number of bytes.
+     * @param reason Why it yields.
      */
-    void releaseBodyBytes(int bytes) {
-        bufferedBytes -= bytes;
+    void reportYield(HeldBytes.Reason reason) {
+        callerLimits.yieldObserver().accept(reason);
     }
 
     /**
--- a/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/front/ResponseSink.java
+++ b/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/front/ResponseSink.java
@@ -54,4 +54,12 @@
      * @param action The action; dropped if the connection breaks first.
      */
     void whenDrained(Runnable action);
+
+    /**
+     * Declares how much of the response is held until it can be sent.
+     *
+     * @param bytes The number of bytes.
+     * @return {@code false} if memory is short, so that it should be sent as soon as possible.
+     */
+    boolean holdBuffered(long bytes);
 }
--- a/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/link/HttpConnection.java
+++ b/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/link/HttpConnection.java
@@ -4,7 +4,6 @@
 import io.activej.net.socket.tcp.ITcpSocket;
 import io.activej.promise.Promise;
 import io.activej.reactor.Reactor;
-import io.netty.buffer.Unpooled;
 import io.netty.buffer.UnpooledByteBufAllocator;
 import io.netty.channel.ChannelHandler;
 import io.netty.channel.embedded.EmbeddedChannel;
@@ -23,21 +22,12 @@
     /** The number of unwritten bytes above which a sender should pause. */
     private static final int HIGH_WATER_MARK_BYTES = 65_536;
 
-    /** The number of undelivered messages from which no more bytes are read. */
-    private static final int MAXIMUM_PENDING_MESSAGES = 256;
-
     /**
      * The number of messages that are delivered in one turn of the event loop, so that a peer that
      * sends very small ones leaves time to other connections. Usual peers send fewer in one read.
      */
     private static final int MAXIMUM_MESSAGES_PER_TURN = 256;
 
-    /** The number of bytes that are decoded at once, which bounds the messages that they become. */
-    private static final int MAXIMUM_DECODED_BYTES = 4_096;
-
-    /** The received bytes while there are none. */
-    private static final byte[] NO_BYTES = {};
-
     /** The event loop. */
     private final Reactor reactor = Reactor.getCurrentReactor();
 
@@ -53,11 +43,8 @@
     /** Run once when all bytes have been written, or null. */
     private @Nullable Runnable onDrained;
 
-    /** The bytes received and not decoded yet. */
-    private byte[] received = NO_BYTES;
-
-    /** The number of received bytes that were decoded. */
-    private int decodedBytes;
+    /** What was received and not delivered yet. */
+    private final IncomingMessages incoming;
 
     /** The encoded messages that are passed to the socket at the end of the turn. */
     private final OutgoingBytes outgoing = new OutgoingBytes();
@@ -65,6 +52,9 @@
     /** The bytes encoded and not written yet. */
     private int unwrittenBytes;
 
+    /** Whether a write is in progress. */
+    private boolean isWriting;
+
     /** Whether a read is in progress. */
     private boolean isReading;
 
@@ -77,18 +67,9 @@
     /** Whether the delivery goes on in the next turn of the event loop. */
     private boolean isTurnAwaited;
 
-    /** Whether received messages are kept instead of delivered. */
-    private boolean isDeliverySuspended;
-
     /** Whether reading from the socket is paused. */
     private boolean isReadingPaused;
 
-    /** Whether the peer closed its sending side. */
-    private boolean isInputEnded;
-
-    /** Whether the decoder was told that the peer closed its sending side. */
-    private boolean isDecoderFinished;
-
     /** Whether the listener was told that the peer closed its sending side. */
     private boolean isEndReported;
 
@@ -108,6 +89,7 @@
         codec = new EmbeddedChannel();
         codec.config().setAllocator(new UnpooledByteBufAllocator(false, true));
         codec.pipeline().addLast(handlers);
+        incoming = new IncomingMessages(codec);
     }
 
     /**
@@ -127,11 +109,11 @@
     public void startReading() {
         if (isReading
                 || isReadingPaused
-                || isInputEnded
+                || incoming.isEnded()
                 || isClosed
                 || isDelivering
                 || isTurnAwaited
-                || hasTooManyUndelivered()) {
+                || incoming.forbidsReading()) {
             return;
         }
         isReading = true;
@@ -144,16 +126,6 @@
         }
     }
 
-    /**
-     * Returns {@code true} if the messages that are not delivered yet forbid to read more.
-     *
-     * @return {@code true} if undecoded bytes are left or too many messages are pending.
-     */
-    private boolean hasTooManyUndelivered() {
-        return decodedBytes < received.length
-                || codec.inboundMessages().size() >= MAXIMUM_PENDING_MESSAGES;
-    }
-
     /**
      * Ends a read and handles its outcome.
      *
@@ -205,11 +177,10 @@
             return;
         }
         if (buffer == null) {
-            isInputEnded = true;
+            incoming.end();
         } else {
+            incoming.add(buffer.asArray());
             listener.onBytesReceived();
-            received = buffer.asArray();
-            decodedBytes = 0;
         }
         deliver();
     }
@@ -239,7 +210,7 @@
                         isTurnAwaited = false;
                         failOnUnexpectedError(this::deliver);
                     });
-        } else if (isInputEnded && !isEndReported) {
+        } else if (incoming.isEnded() && !isEndReported) {
             isEndReported = true;
             listener.onEndOfStream();
         } else {
@@ -259,7 +230,7 @@
             if (messages == MAXIMUM_MESSAGES_PER_TURN) {
                 return false;
             }
-            HttpObject message = isDeliverySuspended ? null : codec.readInbound();
+            HttpObject message = incoming.next();
             if (message != null) {
                 messages++;
                 try {
@@ -267,52 +238,24 @@
                 } finally {
                     ReferenceCountUtil.release(message);
                 }
-            } else if (!decode()) {
+            } else if (!incoming.decode()) {
                 return true;
             }
         }
         return true;
     }
 
-    /**
-     * Decodes a part of the received bytes, or the end of the stream after all of them.
-     *
-     * @return {@code false} if nothing is left to decode or too many messages are pending.
-     */
-    private boolean decode() {
-        if (codec.inboundMessages().size() >= MAXIMUM_PENDING_MESSAGES) {
-            return false;
-        }
-        if (decodedBytes < received.length) {
-            int length = Math.min(received.length - decodedBytes, MAXIMUM_DECODED_BYTES);
-            io.netty.buffer.ByteBuf part = Unpooled.wrappedBuffer(received, decodedBytes, length);
-            decodedBytes += length;
-            if (decodedBytes == received.length) {
-                received = NO_BYTES;
-                decodedBytes = 0;
-            }
-            codec.writeInbound(part);
-            return true;
-        }
-        if (isInputEnded && !isDecoderFinished) {
-            isDecoderFinished = true;
-            codec.finish();
-            return true;
-        }
-        return false;
-    }
-
     /**
      * Suspends delivery of messages. Bytes are still read, so that the end of the stream is
      * detected.
      */
     public void suspendDelivery() {
-        isDeliverySuspended = true;
+        incoming.setSuspended(true);
     }
 
     /** Resumes delivery, beginning with the messages received in the meantime. */
     public void resumeDelivery() {
-        isDeliverySuspended = false;
+        incoming.setSuspended(false);
         failOnUnexpectedError(this::deliver);
     }
 
@@ -322,7 +265,16 @@
      * @return {@code true} if at least one decoded message or one undecoded byte is pending.
      */
     public boolean hasUndelivered() {
-        return decodedBytes < received.length || !codec.inboundMessages().isEmpty();
+        return incoming.isPending();
+    }
+
+    /**
+     * Returns the memory of what was received and not delivered yet.
+     *
+     * @return The number of bytes, roughly.
+     */
+    public int undeliveredBytes() {
+        return incoming.costBytes();
     }
 
     /** Stops reading after the read in progress, which applies back-pressure to the peer. */
@@ -366,20 +318,27 @@
         }
     }
 
-    /** Passes the encoded messages to the socket, unless the connection was closed. */
+    /**
+     * Passes encoded messages to the socket, unless the connection was closed. Others follow once
+     * these were taken, so that what is unread is neither copied nor joined.
+     */
     private void flush() {
-        if (!isClosed) {
-            socket.write(outgoing.take())
-                    .whenComplete((ignored, failure) -> handleWritten(failure));
+        if (!isClosed && !isWriting && outgoing.size() > 0) {
+            isWriting = true;
+            ByteBuf bytes = outgoing.take(HIGH_WATER_MARK_BYTES);
+            int size = bytes.readRemaining();
+            socket.write(bytes).whenComplete((ignored, failure) -> handleWritten(size, failure));
         }
     }
 
     /**
      * Handles the outcome of a write.
      *
+     * @param size The number of bytes.
      * @param failure The failure, or null if the write succeeded.
      */
-    private void handleWritten(@Nullable Exception failure) {
+    private void handleWritten(int size, @Nullable Exception failure) {
+        isWriting = false;
         if (isClosed) {
             return;
         }
@@ -388,8 +347,10 @@
             listener.onFailure(failure);
             return;
         }
-        unwrittenBytes = outgoing.size();
+        unwrittenBytes -= size;
+        listener.onBytesWritten(size);
         if (!isDrained()) {
+            reactor.postLast(this::flush);
             return;
         }
         Runnable waiting = onDrained;
@@ -399,6 +360,15 @@
         }
     }
 
+    /**
+     * Returns the number of bytes that were not passed to the operating system.
+     *
+     * @return The number of bytes.
+     */
+    public int unwrittenBytes() {
+        return unwrittenBytes;
+    }
+
     /**
      * Returns whether a sender should pause.
      *
@@ -441,7 +411,7 @@
         if (!isClosed) {
             isClosed = true;
             if (outgoing.size() > 0) {
-                socket.write(outgoing.take());
+                socket.write(outgoing.take(Integer.MAX_VALUE));
             }
             socket.closeEx(new IOException("Connection was closed locally"));
             codec.releaseInbound();
@@ -464,6 +434,13 @@
         /** Called when bytes were received, before the messages that they complete. */
         default void onBytesReceived() {}
 
+        /**
+         * Called when bytes were passed to the operating system.
+         *
+         * @param size The number of bytes.
+         */
+        default void onBytesWritten(int size) {}
+
         /**
          * Called with a message or part of one.
          *
--- a/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/link/LocalResponses.java
+++ b/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/link/LocalResponses.java
@@ -70,6 +70,23 @@
         return response;
     }
 
+    /**
+     * Returns the refusal of a request that has not run, since the instance holds too much, with
+     * {@code Connection: close}.
+     *
+     * @param retryAfterMillis The delay in milliseconds after which the caller may retry.
+     * @return The response.
+     */
+    public static FullHttpResponse instanceFull(long retryAfterMillis) {
+        FullHttpResponse response =
+                rejection(
+                        HttpResponseStatus.SERVICE_UNAVAILABLE,
+                        "instance holds as much as its memory and descriptors allow",
+                        retryAfterMillis);
+        response.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
+        return response;
+    }
+
     /**
      * Returns the interim response 100 (Continue).
      *
--- a/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/link/OutgoingBytes.java
+++ b/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/link/OutgoingBytes.java
@@ -55,21 +55,29 @@
     }
 
     /**
-     * Returns and removes all bytes.
+     * Returns and removes the first messages, at least one.
      *
+     * @param maximumBytes The number of bytes after which no further message is taken.
      * @return The bytes.
      */
-    ByteBuf take() {
-        byte[] joined = messages.size() == 1 ? messages.get(0) : new byte[size];
-        if (messages.size() != 1) {
+    ByteBuf take(int maximumBytes) {
+        int count = 0;
+        int length = 0;
+        while (count < messages.size() && (count == 0 || length < maximumBytes)) {
+            length += messages.get(count).length;
+            count++;
+        }
+        List<byte[]> taken = messages.subList(0, count);
+        byte[] joined = count == 1 ? taken.get(0) : new byte[length];
+        if (count != 1) {
             int offset = 0;
-            for (byte[] message : messages) {
+            for (byte[] message : taken) {
                 System.arraycopy(message, 0, joined, offset, message.length);
                 offset += message.length;
             }
         }
-        messages.clear();
-        size = 0;
+        taken.clear();
+        size -= length;
         return ByteBuf.wrapForReading(joined);
     }
 }
--- a/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/exchange/SegmentedBuffer.java
+++ b/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/link/SegmentedBuffer.java
@@ -1,10 +1,10 @@
-package io.chicorytrestle.gateway.exchange;
+package io.chicorytrestle.gateway.link;
 
 import java.util.ArrayList;
 import java.util.List;
 
 /** Holds bytes in segments, so that none are copied when more are added. */
-final class SegmentedBuffer {
+public final class SegmentedBuffer {
 
     /** The size of the first segment in bytes, enough for an event of a few tokens. */
     private static final int MINIMUM_SEGMENT_BYTES = 256;
@@ -26,7 +26,7 @@
      *
      * @return The number of bytes.
      */
-    int size() {
+    public int size() {
         return size;
     }
 
@@ -37,7 +37,7 @@
      * @param start The offset of the first byte.
      * @param end The offset after the last byte.
      */
-    void append(byte[] bytes, int start, int end) {
+    public void append(byte[] bytes, int start, int end) {
         for (int offset = start; offset < end; ) {
             if (freeBytes == 0) {
                 freeBytes = Math.max(MINIMUM_SEGMENT_BYTES, Math.min(size, MAXIMUM_SEGMENT_BYTES));
@@ -59,7 +59,7 @@
      * @param end The number of the other bytes.
      * @return A new array.
      */
-    byte[] toByteArrayWith(byte[] bytes, int end) {
+    public byte[] toByteArrayWith(byte[] bytes, int end) {
         byte[] joined = new byte[size + end];
         int offset = 0;
         for (byte[] segment : segments) {
@@ -71,8 +71,19 @@
         return joined;
     }
 
+    /**
+     * Returns all bytes and removes them.
+     *
+     * @return A new array.
+     */
+    public byte[] take() {
+        byte[] bytes = toByteArrayWith(new byte[0], 0);
+        clear();
+        return bytes;
+    }
+
     /** Removes all bytes. */
-    void clear() {
+    public void clear() {
         segments.clear();
         freeBytes = 0;
         size = 0;
--- a/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/settings/GatewaySettings.java
+++ b/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/settings/GatewaySettings.java
@@ -19,6 +19,7 @@
  * @param retryRatio The retry budget as a fraction of requests, fleet-wide.
  * @param retrySlack The retries allowed beyond that fraction, fleet-wide and per window.
  * @param loadMultiple The bound on an endpoint's load, as a multiple of the mean load.
+ * @param machineLimits What the machine allows.
  */
 public record GatewaySettings(
         String instanceName,
@@ -33,7 +34,8 @@
         long drainMillis,
         double retryRatio,
         double retrySlack,
-        double loadMultiple) {
+        double loadMultiple,
+        MachineLimits machineLimits) {
 
     /** Makes an immutable copy of the seeds. */
     public GatewaySettings {
--- a/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/settings/SettingsParser.java
+++ b/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/settings/SettingsParser.java
@@ -13,6 +13,12 @@
     /** Milliseconds per second. */
     private static final long MILLIS_PER_SECOND = 1_000;
 
+    /** Bytes per megabyte. */
+    private static final long BYTES_PER_MEGABYTE = 1_048_576;
+
+    /** The smallest number of descriptors with which callers are served. */
+    private static final int MINIMUM_DESCRIPTORS = 128;
+
     /** The parsed values by setting name. */
     private final Map<String, Object> values;
 
@@ -66,13 +72,51 @@
                         (long) requiredNumber("drain_ms", 0),
                         requiredNumber("retry_ratio", 0),
                         requiredNumber("retry_slack", 0),
-                        requiredNumber("load_multiple", 1));
+                        requiredNumber("load_multiple", 1),
+                        machineLimits());
         if (!faults.isEmpty()) {
             throw new InvalidSettingsException(faults);
         }
         return settings;
     }
 
+    /**
+     * Reads what the machine allows.
+     *
+     * @return The limits, the default ones where the settings name none.
+     */
+    private MachineLimits machineLimits() {
+        MachineLimits defaults = MachineLimits.DEFAULT;
+        double megabytes =
+                optionalNumber(
+                        "machine_memory_mb",
+                        1,
+                        (double) defaults.memoryBytes() / BYTES_PER_MEGABYTE);
+        return new MachineLimits(
+                (long) (megabytes * BYTES_PER_MEGABYTE),
+                (int)
+                        optionalNumber(
+                                "machine_descriptors", MINIMUM_DESCRIPTORS, defaults.descriptors()),
+                (long)
+                        optionalNumber(
+                                "unread_timeout_ms", 1, (double) defaults.unreadTimeoutMillis()));
+    }
+
+    /**
+     * Reads an optional number.
+     *
+     * @param name The name of the setting.
+     * @param minimum The smallest allowed value.
+     * @param defaultValue The value if the setting is absent.
+     * @return The number, or the default value if it is absent, too small or of another type.
+     */
+    private double optionalNumber(String name, double minimum, double defaultValue) {
+        if (values.get(name) == null) {
+            return defaultValue;
+        }
+        return Math.max(minimum, requiredNumber(name, minimum));
+    }
+
     /**
      * Reads a required string.
      *
--- a/chicorytrestle-gateway/src/test/java/io/chicorytrestle/gateway/front/FrontHttpServerTest.java
+++ b/chicorytrestle-gateway/src/test/java/io/chicorytrestle/gateway/front/FrontHttpServerTest.java
@@ -52,7 +52,7 @@
                     },
                     () -> RequestLimits.DEFAULT,
                     (status, reason) -> {},
-                    1_000);
+                    CallerLimits.forOperators());
 
     FrontHttpServerTest() throws IOException {
         server.listen();
