--- a/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/settings/GatewaySettings.java
+++ b/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/settings/GatewaySettings.java
@@ -25,6 +25,7 @@
  * @param coldStartBound The bound on requests to cold endpoints, fleet-wide, or empty if there is
  *     none.
  * @param zoneRegions The region of each availability zone, by the name of the zone.
+ * @param machineLimits What the machine allows.
  */
 public record GatewaySettings(
         String instanceName,
@@ -41,7 +42,8 @@
         double retrySlack,
         double loadMultiple,
         Optional<ColdStartBound> coldStartBound,
-        Map<String, String> zoneRegions) {
+        Map<String, String> zoneRegions,
+        MachineLimits machineLimits) {
 
     /** Makes immutable copies of the collections. */
     public GatewaySettings {
