--- a/chicorytrestle-core/src/test/java/io/chicorytrestle/core/placement/StaleLoadChooserTest.java
+++ b/chicorytrestle-core/src/test/java/io/chicorytrestle/core/placement/StaleLoadChooserTest.java
@@ -30,10 +30,12 @@
     void testChooseWhenOnlyThisInstanceSends() {
         for (int request = 0; request < 200; request++) {
             tracker.recordStart(chooser.choose(List.of(FIRST, SECOND), 0).incarnation());
-        }
 
-        assertThat(
-                tracker.ownCounts(FIRST.incarnation()), both(greaterThan(98)).and(lessThan(102)));
+            int difference =
+                    tracker.ownCounts(FIRST.incarnation())
+                            - tracker.ownCounts(SECOND.incarnation());
+            assertThat(Math.abs(difference), lessThan(2));
+        }
     }
 
     @Test
