Keep connections that are accepted together until each can be held

Cause: the event loop accepts all connections that wait with the operating system in one turn.

Change: up to 64 connections wait unread until one more can be held, in the order in which they came. The time for which they waited counts as the age of their requests.

--- a/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/front/FrontHttpServer.java
+++ b/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/front/FrontHttpServer.java
@@ -16,6 +16,8 @@
 import java.nio.channels.SelectionKey;
 import java.nio.channels.ServerSocketChannel;
 import java.nio.channels.SocketChannel;
+import java.util.ArrayDeque;
+import java.util.Deque;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Set;
@@ -43,6 +45,9 @@
     /** The interval in milliseconds at which a full server looks for room for a connection. */
     private static final long FULL_PAUSE_MILLIS = 50;
 
+    /** The number of connections that are kept unread while no further one can be held. */
+    private static final int MAXIMUM_WAITING_CONNECTIONS = 64;
+
     /** The largest error in milliseconds of a comparison of two rounded times and a duration. */
     static final long ROUNDING_MILLIS = 2;
 
@@ -89,6 +94,12 @@
     /** Whether new connections wait until one is closed. */
     private boolean isFull;
 
+    /** The accepted connections of which nothing is read until one more can be held. */
+    private final Deque<WaitingConnection> waiting = new ArrayDeque<>();
+
+    /** The time in milliseconds for which the connection that is being opened has waited. */
+    private long waitedMillis;
+
     /** Whether connections close after their next response. */
     private boolean isDraining;
 
@@ -173,6 +184,8 @@
             reactor.closeChannel(listeningSocket, listeningSocket.keyFor(reactor.ensureSelector()));
             listeningSocket = null;
         }
+        waiting.forEach(connection -> reactor.closeChannel(connection.channel(), null));
+        waiting.clear();
         closeIdle();
     }
 
@@ -207,12 +220,35 @@
      * @param channel The accepted socket.
      */
     private void acceptConnection(SocketChannel channel) {
-        if (!held().makeRoomForAccount(nowMillis())) {
+        if (!waiting.isEmpty() || !held().makeRoomForAccount(nowMillis())) {
+            await(channel);
+        } else {
+            open(channel);
+        }
+    }
+
+    /**
+     * Keeps a connection, of which nothing is read, until one more can be held. Those that were
+     * established in the same turn of the event loop are accepted together; too many are closed.
+     *
+     * @param channel The accepted socket.
+     */
+    private void await(SocketChannel channel) {
+        if (waiting.size() < MAXIMUM_WAITING_CONNECTIONS) {
+            waiting.add(new WaitingConnection(channel, nowMillis()));
+        } else {
             reactor.closeChannel(channel, null);
             reportYield(HeldBytes.Reason.CONNECTIONS);
-            awaitRoom();
-            return;
         }
+        awaitRoom();
+    }
+
+    /**
+     * Opens a connection for which there is room.
+     *
+     * @param channel The accepted socket.
+     */
+    private void open(SocketChannel channel) {
         ITcpSocket socket;
         try {
             InetSocketAddress caller = (InetSocketAddress) channel.getRemoteAddress();
@@ -239,9 +275,15 @@
         }
     }
 
-    /** Accepts connections again if one can be held. */
+    /** Opens the connections that wait while there is room, and accepts others again after them. */
     private void endWaitForRoom() {
-        if (held().hasRoomForAccount(nowMillis())) {
+        while (!waiting.isEmpty() && held().makeRoomForAccount(nowMillis())) {
+            WaitingConnection next = waiting.remove();
+            waitedMillis = nowMillis() - next.acceptedMillis();
+            open(next.channel());
+        }
+        waitedMillis = 0;
+        if (waiting.isEmpty() && held().hasRoomForAccount(nowMillis())) {
             isFull = false;
             resumedMillis = nowMillis();
             updateInterest();
@@ -303,7 +345,7 @@
      * @return The time in milliseconds.
      */
     long earliestEstablishmentMillis() {
-        long earliestMillis = earliestArrivalMillis();
+        long earliestMillis = earliestArrivalMillis() - waitedMillis;
         return earliestMillis <= resumedMillis + ROUNDING_MILLIS
                 ? earliestMillis - ASSUMED_PAUSE_MILLIS
                 : earliestMillis;
@@ -372,4 +414,12 @@
     ScheduledRunnable schedule(long delayMillis, Runnable action) {
         return reactor.delayBackground(delayMillis, action);
     }
+
+    /**
+     * A connection that was accepted and is not read yet.
+     *
+     * @param channel The accepted socket.
+     * @param acceptedMillis The time in milliseconds at which it was accepted.
+     */
+    private record WaitingConnection(SocketChannel channel, long acceptedMillis) {}
 }
