Look the warm-up of a service up once a choice

Cause: each choice of an endpoint read the clock, the routing table and the service's warm-up for each endpoint, also where services have no warm-up.

Change: ColdStarts resolves the condition for the service of the request, and the picker applies it.

Behaviour is unchanged.

--- a/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/exchange/ColdStarts.java
+++ b/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/exchange/ColdStarts.java
@@ -17,18 +17,19 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.function.Predicate;
 
 /** Decides which requests may be sent to endpoints that are cold. */
 public interface ColdStarts {
 
     /**
-     * Returns {@code true} if an endpoint may be chosen.
+     * Returns which endpoints of a service may be chosen.
      *
-     * @param endpoint The endpoint.
+     * @param service The name of the service.
      * @param nowMillis The current time in milliseconds.
-     * @return {@code true} if it is warm, or a request may be sent to it nevertheless.
+     * @return The condition that an endpoint is warm, or a request may be sent to it nevertheless.
      */
-    boolean isOpen(ServingEndpoint endpoint, long nowMillis);
+    Predicate<ServingEndpoint> openEndpoints(String service, long nowMillis);
 
     /**
      * Records that a request is sent to an endpoint, if it may be.
@@ -55,8 +56,8 @@
         INSTANCE;
 
         @Override
-        public boolean isOpen(ServingEndpoint endpoint, long nowMillis) {
-            return true;
+        public Predicate<ServingEndpoint> openEndpoints(String service, long nowMillis) {
+            return endpoint -> true;
         }
 
         @Override
@@ -118,9 +119,23 @@
         }
 
         @Override
-        public boolean isOpen(ServingEndpoint endpoint, long nowMillis) {
-            Optional<WarmUp> warmUp = warmUp(endpoint);
-            boolean isOpen = warmUp.isEmpty() || gate.isOpen(endpoint, warmUp.get(), nowMillis);
+        public Predicate<ServingEndpoint> openEndpoints(String service, long nowMillis) {
+            return warmUp(service)
+                    .<Predicate<ServingEndpoint>>map(
+                            warmUp -> endpoint -> isOpen(endpoint, warmUp, nowMillis))
+                    .orElse(endpoint -> true);
+        }
+
+        /**
+         * Returns {@code true} if an endpoint may be chosen, and counts it otherwise.
+         *
+         * @param endpoint The endpoint.
+         * @param warmUp How it behaves while it is cold.
+         * @param nowMillis The current time in milliseconds.
+         * @return {@code true} if it is warm, or a request may be sent to it nevertheless.
+         */
+        private boolean isOpen(ServingEndpoint endpoint, WarmUp warmUp, long nowMillis) {
+            boolean isOpen = gate.isOpen(endpoint, warmUp, nowMillis);
             if (!isOpen) {
                 exclusions.inc();
             }
@@ -129,7 +144,7 @@
 
         @Override
         public boolean trySend(ServingEndpoint endpoint, long nowMillis) {
-            Optional<WarmUp> warmUp = warmUp(endpoint);
+            Optional<WarmUp> warmUp = warmUp(endpoint.service());
             boolean isSent = warmUp.isEmpty() || gate.trySend(endpoint, warmUp.get(), nowMillis);
             if (!isSent) {
                 unsent.inc();
@@ -151,19 +166,19 @@
          * @return The time in milliseconds, zero if it is warm.
          */
         private long coldMillis(ServingEndpoint endpoint, long nowMillis) {
-            return warmUp(endpoint)
+            return warmUp(endpoint.service())
                     .map(warmUp -> Math.max(0, gate.coldUntilMillis(endpoint, warmUp) - nowMillis))
                     .orElse(0L);
         }
 
         /**
-         * Returns how an endpoint behaves while it is cold.
+         * Returns how the endpoints of a service behave while they are cold.
          *
-         * @param endpoint The endpoint.
-         * @return The warm-up of its service, or empty if it has none or is not known.
+         * @param service The name of the service.
+         * @return The warm-up, or empty if the service has none or is not known.
          */
-        private Optional<WarmUp> warmUp(ServingEndpoint endpoint) {
-            return context.table().service(endpoint.service()).flatMap(Service::warmUp);
+        private Optional<WarmUp> warmUp(String service) {
+            return context.table().service(service).flatMap(Service::warmUp);
         }
 
         /**
--- a/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/exchange/Exchange.java
+++ b/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/exchange/Exchange.java
@@ -16,6 +16,7 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.Set;
+import java.util.function.Predicate;
 import org.jspecify.annotations.Nullable;
 
 /**
@@ -112,6 +113,8 @@
             end().refuse(RefusalReason.DEADLINE, 0, remainingMillis());
             return;
         }
+        Predicate<ServingEndpoint> isOpen =
+                context.coldStarts().openEndpoints(routed.service(), context.nowMillis());
         Optional<Placement> chosen =
                 context.picker()
                         .pick(
@@ -120,8 +123,7 @@
                                 routed.prompt(),
                                 endpoint ->
                                         !triedIncarnations.contains(endpoint.incarnation())
-                                                && context.coldStarts()
-                                                        .isOpen(endpoint, context.nowMillis()),
+                                                && isOpen.test(endpoint),
                                 context.nowMillis());
         if (chosen.isEmpty()) {
             if (relay.isStarted()) {
