Compute changed zones as a difference of sets

Cause: two loops wrote again what the library's symmetric difference does.

Change: EvacuatedZones calls it.

Behaviour is unchanged.

--- a/chicorytrestle-core/src/main/java/io/chicorytrestle/core/placement/EvacuatedZones.java
+++ b/chicorytrestle-core/src/main/java/io/chicorytrestle/core/placement/EvacuatedZones.java
@@ -1,7 +1,7 @@
 package io.chicorytrestle.core.placement;
 
+import com.google.common.collect.Sets;
 import java.util.HashMap;
-import java.util.HashSet;
 import java.util.Map;
 import java.util.Set;
 
@@ -33,17 +33,8 @@
         if (evacuations.revision() <= current.revision()) {
             return Set.of();
         }
-        Set<String> changed = new HashSet<>();
-        for (String zone : evacuations.zones()) {
-            if (!current.zones().contains(zone)) {
-                changed.add(zone);
-            }
-        }
-        for (String zone : current.zones()) {
-            if (!evacuations.zones().contains(zone)) {
-                changed.add(zone);
-            }
-        }
+        Set<String> changed =
+                Set.copyOf(Sets.symmetricDifference(current.zones(), evacuations.zones()));
         changed.forEach(zone -> changedMillis.put(zone, nowMillis));
         current = evacuations;
         return changed;
