Pass the wait of a connection instead of keeping it

Cause: the time for which a connection had waited was a field of the server that was set before and reset after each connection was opened.

Change: it is an argument of what opens the connection.

Behaviour is unchanged.

--- a/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/front/CallerConnection.java
+++ b/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/front/CallerConnection.java
@@ -97,17 +97,16 @@
      *
      * @param server The server that accepted the connection.
      * @param socket The socket.
-     * @param limits The request limits, fixed for the life of the connection.
+     * @param establishedMillis The earliest time in milliseconds at which it can have been opened.
      */
-    CallerConnection(FrontHttpServer server, ITcpSocket socket, RequestLimits limits) {
+    CallerConnection(FrontHttpServer server, ITcpSocket socket, long establishedMillis) {
         this.server = server;
-        this.requestLimits = limits;
+        requestLimits = server.requestLimits();
         acceptedMillis = server.nowMillis();
-        establishedMillis = server.earliestEstablishmentMillis();
+        this.establishedMillis = establishedMillis;
         account = server.held().open(this, acceptedMillis);
-        connection =
-                HttpConnection.of(
-                        socket, this, new StrictRequestDecoder(limits.headerBytes()), encoder);
+        StrictRequestDecoder decoder = new StrictRequestDecoder(requestLimits.headerBytes());
+        connection = HttpConnection.of(socket, this, decoder, encoder);
     }
 
     /** Starts reading and arms the idle time-out. */
--- a/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/front/FrontHttpServer.java
+++ b/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/front/FrontHttpServer.java
@@ -97,9 +97,6 @@
     /** The accepted connections of which nothing is read until one more can be held. */
     private final Deque<WaitingConnection> waiting = new ArrayDeque<>();
 
-    /** The time in milliseconds for which the connection that is being opened has waited. */
-    private long waitedMillis;
-
     /** Whether connections close after their next response. */
     private boolean isDraining;
 
@@ -223,7 +220,7 @@
         if (!waiting.isEmpty() || !held().makeRoomForAccount(nowMillis())) {
             await(channel);
         } else {
-            open(channel);
+            open(channel, 0);
         }
     }
 
@@ -247,8 +244,9 @@
      * Opens a connection for which there is room.
      *
      * @param channel The accepted socket.
+     * @param waitedMillis The time in milliseconds since it was accepted.
      */
-    private void open(SocketChannel channel) {
+    private void open(SocketChannel channel, long waitedMillis) {
         ITcpSocket socket;
         try {
             InetSocketAddress caller = (InetSocketAddress) channel.getRemoteAddress();
@@ -258,7 +256,8 @@
             reactor.closeChannel(channel, null);
             return;
         }
-        CallerConnection connection = new CallerConnection(this, socket, requestLimits.get());
+        CallerConnection connection =
+                new CallerConnection(this, socket, earliestEstablishmentMillis(waitedMillis));
         connections.add(connection);
         connection.start();
         if (!held().hasRoomForAccount(nowMillis())) {
@@ -279,10 +278,8 @@
     private void endWaitForRoom() {
         while (!waiting.isEmpty() && held().makeRoomForAccount(nowMillis())) {
             WaitingConnection next = waiting.remove();
-            waitedMillis = nowMillis() - next.acceptedMillis();
-            open(next.channel());
+            open(next.channel(), nowMillis() - next.acceptedMillis());
         }
-        waitedMillis = 0;
         if (waiting.isEmpty() && held().hasRoomForAccount(nowMillis())) {
             isFull = false;
             resumedMillis = nowMillis();
@@ -339,18 +336,28 @@
     }
 
     /**
-     * Returns the earliest time at which a connection that is accepted now can have been
-     * established. One that was held during a pause is assumed to have waited for a part of it.
+     * Returns the earliest time at which a connection that is opened now can have been established.
+     * One that was held during a pause is assumed to have waited for a part of it.
      *
+     * @param waitedMillis The time in milliseconds since it was accepted.
      * @return The time in milliseconds.
      */
-    long earliestEstablishmentMillis() {
+    private long earliestEstablishmentMillis(long waitedMillis) {
         long earliestMillis = earliestArrivalMillis() - waitedMillis;
         return earliestMillis <= resumedMillis + ROUNDING_MILLIS
                 ? earliestMillis - ASSUMED_PAUSE_MILLIS
                 : earliestMillis;
     }
 
+    /**
+     * Returns the current request limits.
+     *
+     * @return The limits, which hold for the life of a connection that is opened now.
+     */
+    RequestLimits requestLimits() {
+        return requestLimits.get();
+    }
+
     /**
      * Returns what is held for callers.
      *
