--- a/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/fleet/EndpointChanges.java
+++ b/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/fleet/EndpointChanges.java
@@ -29,22 +29,4 @@
         removed = List.copyOf(removed);
         coldReports = List.copyOf(coldReports);
     }
-
-    /**
-     * Creates changes whose entries state nothing of being cold.
-     *
-     * @param sender The name of the instance that read the changes.
-     * @param baseRevision The store's revision to which the changes apply.
-     * @param revision The store's revision after the changes.
-     * @param changed The endpoints whose entries were added or changed.
-     * @param removed The identifiers of endpoints whose entries were removed.
-     */
-    public EndpointChanges(
-            String sender,
-            long baseRevision,
-            long revision,
-            List<ServingEndpoint> changed,
-            List<String> removed) {
-        this(sender, baseRevision, revision, changed, removed, List.of());
-    }
 }
--- a/chicorytrestle-gateway/src/test/java/io/chicorytrestle/gateway/fleet/FleetCodecTest.java
+++ b/chicorytrestle-gateway/src/test/java/io/chicorytrestle/gateway/fleet/FleetCodecTest.java
@@ -228,7 +228,7 @@
     @Test
     void testDecodeWhenEndpointChangesAreOfAnEarlierVersion() throws IOException {
         EndpointChanges changes =
-                new EndpointChanges("a", 3, 9, List.of(ENDPOINT), List.of("gone"));
+                new EndpointChanges("a", 3, 9, List.of(ENDPOINT), List.of("gone"), List.of());
         byte[] encoded = FleetCodec.encode(changes);
 
         assertThat(FleetCodec.decode(Arrays.copyOf(encoded, encoded.length - 1)), equalTo(changes));
--- a/chicorytrestle-gateway/src/test/java/io/chicorytrestle/gateway/fleet/FleetStateTest.java
+++ b/chicorytrestle-gateway/src/test/java/io/chicorytrestle/gateway/fleet/FleetStateTest.java
@@ -42,7 +42,8 @@
     @Test
     void testApplyFromPeerWhenChangesAreContiguous() {
         state.replaceFromStore(List.of(FIRST), 10, 0);
-        state.applyFromPeer(new EndpointChanges("p", 10, 12, List.of(SECOND), List.of()), 1);
+        state.applyFromPeer(
+                new EndpointChanges("p", 10, 12, List.of(SECOND), List.of(), List.of()), 1);
 
         assertThat(servingEndpoints(), contains(FIRST, SECOND));
         assertThat(state.endpointRevision(), equalTo(12L));
@@ -51,7 +52,8 @@
     @Test
     void testApplyFromPeerWhenRevisionsAreMissing() {
         state.replaceFromStore(List.of(FIRST), 10, 0);
-        state.applyFromPeer(new EndpointChanges("p", 11, 12, List.of(SECOND), List.of()), 1);
+        state.applyFromPeer(
+                new EndpointChanges("p", 11, 12, List.of(SECOND), List.of(), List.of()), 1);
 
         assertThat(servingEndpoints(), contains(FIRST));
         assertThat(state.endpointRevision(), equalTo(10L));
@@ -70,7 +72,8 @@
     void testReplaceFromStoreWhenASnapshotHasOvertakenTheListing() {
         state.applyFromPeer(List.of(SECOND), 6, "p", 0);
         state.replaceFromStore(List.of(FIRST, SECOND), 5, 1);
-        state.applyFromPeer(new EndpointChanges("self", 6, 6, List.of(), List.of("1")), 2);
+        state.applyFromPeer(
+                new EndpointChanges("self", 6, 6, List.of(), List.of("1"), List.of()), 2);
 
         assertThat(servingEndpoints(), contains(SECOND));
         assertThat(state.endpointRevision(), equalTo(6L));
@@ -117,7 +120,9 @@
         state.replaceFromStore(List.of(FIRST, SECOND), 10, 0);
         state.replaceFromStore(List.of(SECOND), 12, 1);
         state.applyFromPeer(
-                new EndpointChanges("p", 10, 12, List.of(FIRST.asLeaving()), List.of("1")), 2);
+                new EndpointChanges(
+                        "p", 10, 12, List.of(FIRST.asLeaving()), List.of("1"), List.of()),
+                2);
 
         assertThat(state.isLeaving(FIRST.incarnation()), is(true));
     }
