Withhold a request from its connection in one place

Cause: four checks before a request is written gave its connection back and ended the attempt, each in lines of its own.

Change: one method does both.

Behaviour is unchanged.

--- a/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/exchange/Attempt.java
+++ b/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/exchange/Attempt.java
@@ -173,8 +173,7 @@
             return;
         }
         if (!exchange.hasTimeToSend()) {
-            context.endpointConnections().giveBack(acquired);
-            endUnsent("deadline passed while connecting");
+            withhold(acquired, "deadline passed while connecting");
             return;
         }
         if (context.leavingEndpoints().isLeaving(endpoint().incarnation())) {
@@ -183,19 +182,16 @@
             return;
         }
         if (context.evacuations().zones().contains(endpoint().zone())) {
-            context.endpointConnections().giveBack(acquired);
             context.metrics().counter("requests_withheld_total", "evacuated").inc();
-            endUnsent("zone was evacuated while connecting");
+            withhold(acquired, "zone was evacuated while connecting");
             return;
         }
         if (context.backoffs().isActive(endpoint().incarnation(), context.nowMillis())) {
-            context.endpointConnections().giveBack(acquired);
-            endUnsent("endpoint asked for no requests while connecting");
+            withhold(acquired, "endpoint asked for no requests while connecting");
             return;
         }
         if (!context.coldStarts().trySend(endpoint(), context.nowMillis())) {
-            context.endpointConnections().giveBack(acquired);
-            endUnsent("endpoint is cold and got its requests while connecting");
+            withhold(acquired, "endpoint is cold and got its requests while connecting");
             return;
         }
         connection = acquired;
@@ -204,6 +200,17 @@
         acquired.send(request.get(), id, this);
     }
 
+    /**
+     * Ends the attempt before anything was sent, and keeps the connection for other requests.
+     *
+     * @param unused The connection.
+     * @param cause Why the request is not sent.
+     */
+    private void withhold(EndpointConnection unused, String cause) {
+        context.endpointConnections().giveBack(unused);
+        endUnsent(cause);
+    }
+
     /**
      * Ends the attempt before anything was sent.
      *
