Show machines that keep an old configuration after a storm of large ones

A long poll that returns more than 4 MiB of events is failed by PooledHttpClient, and StoreWatch repeats it from the same revision until the store's history is gone.

--- a/review/standin-2/review/Store.java
+++ b/review/standin-2/review/Store.java
@@ -1,7 +1,9 @@
 package review;
 
+import java.io.BufferedOutputStream;
 import java.io.Closeable;
 import java.io.IOException;
+import java.io.OutputStream;
 import java.net.Socket;
 import java.net.URLDecoder;
 import java.nio.charset.StandardCharsets;
@@ -17,6 +19,8 @@
 
     private static final int PAGE_ITEMS = 500;
 
+    private static final long HISTORY_MILLIS = 20_000;
+
     private final Http.Server server;
 
     private final TreeMap<String, Item> items = new TreeMap<>();
@@ -25,9 +29,12 @@
 
     private long revision = 100;
 
+    /** The revision of the latest change that is no longer in the history. */
+    private long forgotten;
+
     private record Item(byte[] value, long revision, long createRevision) {}
 
-    private record Event(String key, long revision, String json) {}
+    private record Event(String key, long revision, long millis, String json) {}
 
     Store(String ip, int port) throws IOException {
         server = new Http.Server(ip, port, this::handle);
@@ -46,7 +53,7 @@
                         revision,
                         before == null ? revision : before.createRevision());
         items.put(key, item);
-        events.add(new Event(key, revision, json(key, item)));
+        events.add(new Event(key, revision, now(), json(key, item)));
         notifyAll();
     }
 
@@ -57,12 +64,17 @@
                     new Event(
                             key,
                             revision,
+                            now(),
                             "{\"key\":\"" + key + "\",\"revision\":" + revision
                                     + ",\"removed\":true}"));
             notifyAll();
         }
     }
 
+    private static long now() {
+        return System.nanoTime() / 1_000_000;
+    }
+
     private static String json(String key, Item item) {
         return "{\"key\":\"" + key + "\",\"value\":\""
                 + Base64.getEncoder().encodeToString(item.value())
@@ -81,32 +93,35 @@
                     URLDecoder.decode(pair.substring(equals + 1), StandardCharsets.UTF_8));
         }
         String path = mark < 0 ? target : target.substring(0, mark);
-        String answer =
+        List<String> answer =
                 switch (path) {
                     case "/chicorytrestle/kv-range" -> range(query);
                     case "/chicorytrestle/kv-watch" -> watch(query);
                     case "/chicorytrestle/kv-key" -> key(query);
                     default -> null;
                 };
-        byte[] bytes = (answer == null ? "{}" : answer).getBytes(StandardCharsets.UTF_8);
-        String start = "HTTP/1.1 " + (answer == null ? "404 Not Found" : "200 OK") + "\r\n";
-        byte[] headBytes =
-                (start + "Content-Type: application/json\r\nContent-Length: " + bytes.length
+        boolean isGone = answer == null && path.endsWith("/kv-watch");
+        String status = answer != null ? "200 OK" : isGone ? "410 Gone" : "404 Not Found";
+        List<String> parts = answer == null ? List.of("{}") : answer;
+        OutputStream out = new BufferedOutputStream(socket.getOutputStream(), 65_536);
+        out.write(
+                ("HTTP/1.1 " + status + "\r\nContent-Type: application/json\r\nContent-Length: "
+                                + parts.stream().mapToLong(String::length).sum()
                                 + "\r\n\r\n")
-                        .getBytes(StandardCharsets.US_ASCII);
-        byte[] all = new byte[headBytes.length + bytes.length];
-        System.arraycopy(headBytes, 0, all, 0, headBytes.length);
-        System.arraycopy(bytes, 0, all, headBytes.length, bytes.length);
-        socket.getOutputStream().write(all);
+                        .getBytes(StandardCharsets.US_ASCII));
+        for (String part : parts) {
+            out.write(part.getBytes(StandardCharsets.US_ASCII));
+        }
+        out.flush();
         return true;
     }
 
-    private synchronized String key(Map<String, String> query) {
+    private synchronized List<String> key(Map<String, String> query) {
         Item item = items.get(query.get("key"));
-        return item == null ? null : json(query.get("key"), item);
+        return item == null ? null : List.of(json(query.get("key"), item));
     }
 
-    private synchronized String range(Map<String, String> query) {
+    private synchronized List<String> range(Map<String, String> query) {
         List<String> page = new ArrayList<>();
         boolean isCut = false;
         for (Map.Entry<String, Item> entry :
@@ -119,29 +134,50 @@
                 page.add(json(entry.getKey(), entry.getValue()));
             }
         }
-        return "{\"items\":[" + String.join(",", page) + "],\"more_pages\":" + isCut
-                + ",\"store_revision\":" + revision + "}";
+        return document(
+                "{\"items\":[",
+                page,
+                "],\"more_pages\":" + isCut + ",\"store_revision\":" + revision + "}");
     }
 
-    private synchronized String watch(Map<String, String> query) throws InterruptedException {
+    private synchronized List<String> watch(Map<String, String> query) throws InterruptedException {
         long after = Long.parseLong(query.get("after"));
-        long end = System.nanoTime() / 1_000_000 + Long.parseLong(query.get("wait_ms"));
+        long end = now() + Long.parseLong(query.get("wait_ms"));
         while (true) {
+            while (!events.isEmpty() && now() - events.get(0).millis() > HISTORY_MILLIS) {
+                forgotten = events.remove(0).revision();
+            }
+            if (after < forgotten) {
+                return null;
+            }
             List<String> found = new ArrayList<>();
             for (Event event : events) {
                 if (event.revision() > after && event.key().startsWith(query.get("prefix"))) {
                     found.add(event.json());
                 }
             }
-            long left = end - System.nanoTime() / 1_000_000;
+            long left = end - now();
             if (!found.isEmpty() || left <= 0) {
-                return "{\"events\":[" + String.join(",", found) + "],\"store_revision\":"
-                        + revision + "}";
+                return document(
+                        "{\"events\":[", found, "],\"store_revision\":" + revision + "}");
             }
             wait(left);
         }
     }
 
+    /** The parts of a document, which are not joined, as they may be large. */
+    private static List<String> document(String begin, List<String> entries, String end) {
+        List<String> parts = new ArrayList<>(List.of(begin));
+        for (String entry : entries) {
+            if (parts.size() > 1) {
+                parts.add(",");
+            }
+            parts.add(entry);
+        }
+        parts.add(end);
+        return parts;
+    }
+
     @Override
     public void close() throws IOException {
         server.close();
