--- a/review/standin-2/review/SlowReaderAtShutdown.java
+++ b/review/standin-2/review/SlowReaderAtShutdown.java
@@ -14,23 +14,23 @@
 import java.util.Random;
 
 /**
- * Callers on links of 4 Mbit/s fetch answers of 3 to 3.5 MB; the machine that serves them gets
+ * Callers on links of 256 kbit/s fetch answers of 240 to 257 kB; the machine that serves them gets
  * SIGTERM meanwhile. Each caller has time left, and the machine has the time to send each answer
  * before its grace period ends.
  */
 final class SlowReaderAtShutdown {
 
-    private static final int CALLERS = 36;
+    private static final int CALLERS = 12;
 
-    private static final int SMALLEST_ANSWER_BYTES = 3_000_000;
+    private static final int SMALLEST_ANSWER_BYTES = 240_000;
 
-    private static final int STEP_BYTES = 13_000;
+    private static final int STEP_BYTES = 1_500;
 
-    private static final int BYTES_PER_SECOND = 512_000;
+    private static final int BYTES_PER_SECOND = 32_000;
 
-    private static final int RECEIVE_BUFFER_BYTES = 32_768;
+    private static final int RECEIVE_BUFFER_BYTES = 4_096;
 
-    private static final long SIGNAL_MILLIS = 500;
+    private static final long SIGNAL_MILLIS = 200;
 
     private static final long DEADLINE_MILLIS = 15_000;
 
@@ -193,7 +193,7 @@
             InputStream in = socket.getInputStream();
             Http.Head head = Http.readHead(in);
             long bodyMillis = System.nanoTime() / 1_000_000;
-            byte[] part = new byte[4_096];
+            byte[] part = new byte[1_024];
             long bytes = 0;
             String end = "complete";
             int wanted = Integer.parseInt(head.header("content-length") == null
