End all processes of a case also after its player was killed

A player that got SIGKILL left its machines running, and SIGTERM left a temporary folder; no run had a limit of its own.

--- a/review/standin-2/review/Deployment.java
+++ b/review/standin-2/review/Deployment.java
@@ -10,7 +10,6 @@
 import java.nio.file.Path;
 import java.time.Instant;
 import java.util.ArrayList;
-import java.util.Comparator;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -18,7 +17,6 @@
 import java.util.concurrent.TimeUnit;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
-import java.util.stream.Stream;
 
 /** Starts the program of the deploy file as separate processes, each on a loopback address. */
 final class Deployment implements Closeable {
@@ -42,7 +40,7 @@
     Deployment(Path record) throws IOException {
         this.record = record;
         Files.deleteIfExists(record);
-        folder = Files.createTempDirectory("review");
+        folder = Path.of(System.getenv("REVIEW_FOLDER"));
         network = freeNetwork();
         store = new Store(ip(1), freePort(ip(1)));
         Runtime.getRuntime().addShutdownHook(new Thread(this::killAll));
@@ -127,6 +125,11 @@
             builder.redirectOutput(
                     ProcessBuilder.Redirect.appendTo(folder.resolve(name + ".log").toFile()));
             process = builder.start();
+            Files.writeString(
+                    folder.resolve("processes"),
+                    process.pid() + "\n",
+                    java.nio.file.StandardOpenOption.CREATE,
+                    java.nio.file.StandardOpenOption.APPEND);
         }
 
         void signal(String name) throws Exception {
@@ -300,13 +303,6 @@
             }
         }
         store.close();
-        if (System.getenv("KEEP") != null) {
-            System.out.println("logs in " + folder);
-            return;
-        }
-        try (Stream<Path> paths = Files.walk(folder)) {
-            paths.sorted(Comparator.reverseOrder()).forEach(path -> path.toFile().delete());
-        }
     }
 
     /** The entry of a worker in the store. */
