Order what the store said by its era first

Cause: the store may come back from a copy some seconds old and give out its revisions again. Instances ordered endpoints, evacuations and cold reports by the bare revision, so that a listing of the restored store counted as overtaken, and removals below the known revision were lost.

Change: StorePosition (era, then revision) replaces the revision in FleetState, Evacuations, ColdReport and in the messages between instances. Changes follow only endpoints of their own era. On the wire the era is a trailing field; messages of earlier builds lack it and count as era zero, so that they never replace what is known of a later era. The store's era is not read yet: the watches still state era zero.

Measured: with positions compared by the revision alone, as before, 8 of the new tests of FleetStateTest, EvacuatedZonesTest and ColdEndpointsTest fail.

--- a/chicorytrestle-core/src/main/java/io/chicorytrestle/core/placement/ColdEndpoints.java
+++ b/chicorytrestle-core/src/main/java/io/chicorytrestle/core/placement/ColdEndpoints.java
@@ -1,5 +1,6 @@
 package io.chicorytrestle.core.placement;
 
+import io.chicorytrestle.core.fleet.StorePosition;
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.HashMap;
@@ -9,7 +10,7 @@
 /**
  * Estimates until when each endpoint is cold, rather too late than too early. Times are counted on
  * the clock of this instance from when a report was received, since the clocks of instances differ.
- * Reports are ordered by the store's revision, so that a late one changes nothing. This class is
+ * Reports are ordered by the store's position, so that a late one changes nothing. This class is
  * not thread-safe: it is confined to one thread.
  */
 public final class ColdEndpoints {
@@ -48,9 +49,9 @@
      */
     public void record(ColdReport report, long nowMillis) {
         State state = state(report.incarnation(), nowMillis);
-        if (!state.isReported || report.revision() > state.revision) {
+        if (!state.isReported || report.position().isAfter(state.position)) {
             state.isReported = true;
-            state.revision = report.revision();
+            state.position = report.position();
             state.reportedUntilMillis = nowMillis + report.leftMillis();
         }
     }
@@ -121,7 +122,7 @@
                         reports.add(
                                 new ColdReport(
                                         incarnation,
-                                        state.revision,
+                                        state.position,
                                         Math.max(0, state.reportedUntilMillis - nowMillis)));
                     }
                 });
@@ -175,8 +176,8 @@
         /** Whether its entry stated for how long it is cold. */
         private boolean isReported;
 
-        /** The store's revision of that entry. */
-        private long revision;
+        /** The store's position of that entry. */
+        private StorePosition position = StorePosition.UNKNOWN;
 
         /** The time in milliseconds until which it is cold by that entry. */
         private long reportedUntilMillis;
--- a/chicorytrestle-core/src/main/java/io/chicorytrestle/core/placement/EvacuatedZones.java
+++ b/chicorytrestle-core/src/main/java/io/chicorytrestle/core/placement/EvacuatedZones.java
@@ -30,7 +30,7 @@
      * @return The zones that are evacuated or taken back by it, possibly none.
      */
     Set<String> accept(Evacuations evacuations, long nowMillis) {
-        if (evacuations.revision() <= current.revision()) {
+        if (!evacuations.position().isAfter(current.position())) {
             return Set.of();
         }
         Set<String> changed =
--- a/chicorytrestle-core/src/test/java/io/chicorytrestle/core/placement/ColdEndpointsTest.java
+++ b/chicorytrestle-core/src/test/java/io/chicorytrestle/core/placement/ColdEndpointsTest.java
@@ -5,6 +5,7 @@
 import static org.hamcrest.Matchers.empty;
 import static org.hamcrest.Matchers.equalTo;
 
+import io.chicorytrestle.core.fleet.StorePosition;
 import java.util.List;
 import org.junit.jupiter.api.Test;
 
@@ -19,7 +20,7 @@
     @Test
     void testColdUntilMillisWhenTheEndpointJoins() {
         coldEndpoints.recordListed(INCARNATION, false, 100);
-        coldEndpoints.record(new ColdReport(INCARNATION, 5, 0), 100);
+        coldEndpoints.record(new ColdReport(INCARNATION, new StorePosition(0, 5), 0), 100);
 
         assertThat(untilMillis(), equalTo(3_100L));
     }
@@ -34,8 +35,8 @@
 
     @Test
     void testColdUntilMillisWhenTheFirstListIsReceived() {
-        coldEndpoints.record(new ColdReport(INCARNATION, 5, 0), 100);
-        coldEndpoints.record(new ColdReport("other", 5, 2_000), 100);
+        coldEndpoints.record(new ColdReport(INCARNATION, new StorePosition(0, 5), 0), 100);
+        coldEndpoints.record(new ColdReport("other", new StorePosition(0, 5), 2_000), 100);
         coldEndpoints.recordListed(INCARNATION, true, 100);
         coldEndpoints.recordListed("silent", true, 100);
 
@@ -47,27 +48,39 @@
     @Test
     void testRecordWhenAnOlderEntryArrivesLater() {
         coldEndpoints.recordListed(INCARNATION, true, 0);
-        coldEndpoints.record(new ColdReport(INCARNATION, 7, 2_000), 60_000);
-        coldEndpoints.record(new ColdReport(INCARNATION, 5, 0), 60_100);
-        coldEndpoints.record(new ColdReport(INCARNATION, 7, 2_000), 61_000);
+        coldEndpoints.record(new ColdReport(INCARNATION, new StorePosition(0, 7), 2_000), 60_000);
+        coldEndpoints.record(new ColdReport(INCARNATION, new StorePosition(0, 5), 0), 60_100);
+        coldEndpoints.record(new ColdReport(INCARNATION, new StorePosition(0, 7), 2_000), 61_000);
 
         assertThat(untilMillis(), equalTo(62_000L));
     }
 
+    @Test
+    void testRecordWhenStoreIsRestored() {
+        coldEndpoints.recordListed(INCARNATION, true, 0);
+        coldEndpoints.record(new ColdReport(INCARNATION, new StorePosition(1, 7), 0), 60_000);
+        coldEndpoints.record(new ColdReport(INCARNATION, new StorePosition(2, 5), 2_000), 60_100);
+        coldEndpoints.record(new ColdReport(INCARNATION, new StorePosition(1, 9), 0), 60_200);
+
+        assertThat(untilMillis(), equalTo(62_100L));
+    }
+
     @Test
     void testRecordWhenTheEndpointTurnsColdAgain() {
         coldEndpoints.recordListed(INCARNATION, false, 0);
-        coldEndpoints.record(new ColdReport(INCARNATION, 7, 2_500), 60_000);
+        coldEndpoints.record(new ColdReport(INCARNATION, new StorePosition(0, 7), 2_500), 60_000);
 
         assertThat(untilMillis(), equalTo(62_500L));
         assertThat(
                 coldEndpoints.evidence(INCARNATION, 61_000), equalTo(ColdEndpoints.Evidence.ENTRY));
-        assertThat(coldEndpoints.reports(61_000), contains(new ColdReport(INCARNATION, 7, 1_500)));
+        assertThat(
+                coldEndpoints.reports(61_000),
+                contains(new ColdReport(INCARNATION, new StorePosition(0, 7), 1_500)));
     }
 
     @Test
     void testRemoveExpiredWhenTheEndpointIsGone() {
-        coldEndpoints.record(new ColdReport(INCARNATION, 7, 2_500), 0);
+        coldEndpoints.record(new ColdReport(INCARNATION, new StorePosition(0, 7), 2_500), 0);
         coldEndpoints.removeExpired(List.of(Endpoints.ready("1", "a")), 599_999);
         coldEndpoints.removeExpired(List.of(), 1_199_998);
         assertThat(coldEndpoints.reports(1_199_998).size(), equalTo(1));
--- a/chicorytrestle-core/src/test/java/io/chicorytrestle/core/placement/ColdStartGateTest.java
+++ b/chicorytrestle-core/src/test/java/io/chicorytrestle/core/placement/ColdStartGateTest.java
@@ -7,6 +7,7 @@
 import static org.hamcrest.Matchers.is;
 import static org.hamcrest.Matchers.lessThanOrEqualTo;
 
+import io.chicorytrestle.core.fleet.StorePosition;
 import io.chicorytrestle.core.route.WarmUp;
 import java.util.ArrayList;
 import java.util.Collections;
@@ -133,7 +134,9 @@
     private static ColdEndpoints coldEndpoints() {
         ColdEndpoints coldEndpoints = new ColdEndpoints();
         coldEndpoints.recordListed(endpoint().incarnation(), false, START_MILLIS);
-        coldEndpoints.record(new ColdReport(endpoint().incarnation(), 1, 4_900), START_MILLIS);
+        coldEndpoints.record(
+                new ColdReport(endpoint().incarnation(), new StorePosition(0, 1), 4_900),
+                START_MILLIS);
         return coldEndpoints;
     }
 
--- a/chicorytrestle-core/src/test/java/io/chicorytrestle/core/placement/EvacuatedZonesTest.java
+++ b/chicorytrestle-core/src/test/java/io/chicorytrestle/core/placement/EvacuatedZonesTest.java
@@ -10,6 +10,7 @@
 import static org.hamcrest.Matchers.lessThan;
 import static org.hamcrest.Matchers.not;
 
+import io.chicorytrestle.core.fleet.StorePosition;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Set;
@@ -17,9 +18,9 @@
 
 class EvacuatedZonesTest {
 
-    private static final Evacuations NONE = new Evacuations(4, Set.of());
+    private static final Evacuations NONE = new Evacuations(new StorePosition(0, 4), Set.of());
 
-    private static final Evacuations ZONE_A = new Evacuations(7, Set.of("a"));
+    private static final Evacuations ZONE_A = new Evacuations(new StorePosition(0, 7), Set.of("a"));
 
     private static final ServingEndpoint IN_A = Endpoints.ready("1", "a");
 
@@ -74,9 +75,18 @@
 
     @Test
     void testAfterWhenChangeIsContainedAlready() {
-        assertThat(ZONE_A.after("a", false, 7), equalTo(ZONE_A));
-        assertThat(ZONE_A.after("a", false, 8), equalTo(new Evacuations(8, Set.of())));
-        assertThat(ZONE_A.after("b", true, 9), equalTo(new Evacuations(9, Set.of("a", "b"))));
+        assertThat(ZONE_A.after("a", false, new StorePosition(0, 7)), equalTo(ZONE_A));
+        assertThat(
+                ZONE_A.after("a", false, new StorePosition(0, 8)),
+                equalTo(new Evacuations(new StorePosition(0, 8), Set.of())));
+        assertThat(
+                ZONE_A.after("b", true, new StorePosition(0, 9)),
+                equalTo(new Evacuations(new StorePosition(0, 9), Set.of("a", "b"))));
+    }
+
+    @Test
+    void testAfterWhenChangeIsOfAnotherEra() {
+        assertThat(ZONE_A.after("b", true, new StorePosition(1, 9)), equalTo(ZONE_A));
     }
 
     @Test
@@ -87,7 +97,7 @@
         }
         directory.replace(endpoints, 0);
         directory.accept(ZONE_A, 1);
-        directory.accept(new Evacuations(9, Set.of()), 30_000);
+        directory.accept(new Evacuations(new StorePosition(0, 9), Set.of()), 30_000);
 
         assertThat(directory.view(30_000).endpointsOf(Endpoints.SERVICE), hasSize(lessThan(5)));
         List<ServingEndpoint> half = directory.view(32_000).endpointsOf(Endpoints.SERVICE);
@@ -102,7 +112,7 @@
     void testViewWhenTheOnlyZoneIsTakenBack() {
         directory.replace(List.of(IN_A), 0);
         directory.accept(ZONE_A, 1);
-        directory.accept(new Evacuations(9, Set.of()), 2);
+        directory.accept(new Evacuations(new StorePosition(0, 9), Set.of()), 2);
 
         assertThat(directory.view(2).endpointsOf(Endpoints.SERVICE), contains(IN_A));
     }
@@ -111,8 +121,8 @@
     void testViewWhenZoneIsEvacuatedAgainWhileItsEndpointsReturn() {
         directory.replace(List.of(IN_A, IN_B), 0);
         directory.accept(ZONE_A, 1);
-        directory.accept(new Evacuations(9, Set.of()), 2);
-        directory.accept(new Evacuations(11, Set.of("a")), 3);
+        directory.accept(new Evacuations(new StorePosition(0, 9), Set.of()), 2);
+        directory.accept(new Evacuations(new StorePosition(0, 11), Set.of("a")), 3);
 
         assertThat(directory.view(9_000).endpointsOf(Endpoints.SERVICE), is(not(empty())));
         assertThat(directory.view(9_000).endpointsOf(Endpoints.SERVICE), contains(IN_B));
--- a/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/fleet/EvacuationCodec.java
+++ b/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/fleet/EvacuationCodec.java
@@ -1,5 +1,6 @@
 package io.chicorytrestle.gateway.fleet;
 
+import io.chicorytrestle.core.fleet.StorePosition;
 import io.chicorytrestle.core.placement.Evacuations;
 import java.io.IOException;
 import java.util.Set;
@@ -21,11 +22,12 @@
      * @throws IOException Never, since the output is memory.
      */
     static void pack(MessageBufferPacker packer, Evacuations evacuations) throws IOException {
-        packer.packLong(evacuations.revision());
+        packer.packLong(evacuations.position().revision());
         packer.packArrayHeader(evacuations.zones().size());
         for (String zone : new TreeSet<>(evacuations.zones())) {
             packer.packString(zone);
         }
+        packer.packLong(evacuations.position().era());
     }
 
     /**
@@ -36,9 +38,11 @@
      * @throws IOException If the message is malformed.
      */
     static Evacuations unpack(MessageUnpacker unpacker) throws IOException {
-        return unpacker.hasNext()
-                ? new Evacuations(
-                        unpacker.unpackLong(), Set.copyOf(FleetCodec.unpackStrings(unpacker)))
-                : Evacuations.UNKNOWN;
+        if (!unpacker.hasNext()) {
+            return Evacuations.UNKNOWN;
+        }
+        long revision = unpacker.unpackLong();
+        Set<String> zones = Set.copyOf(FleetCodec.unpackStrings(unpacker));
+        return new Evacuations(new StorePosition(FleetCodec.unpackEra(unpacker), revision), zones);
     }
 }
--- a/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/fleet/FleetChannel.java
+++ b/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/fleet/FleetChannel.java
@@ -87,8 +87,8 @@
     /** The time in milliseconds since which a peer has newer state. */
     private long behindSinceMillis;
 
-    /** The table version and endpoint revision of this instance at that time. */
-    private List<Long> behindState = List.of();
+    /** The table version and endpoint position of this instance at that time. */
+    private List<Object> behindState = List.of();
 
     /** The time in milliseconds of the last request for a snapshot. */
     private long snapshotRequestedMillis;
@@ -222,7 +222,7 @@
     }
 
     /**
-     * Sends a heartbeat at once, which states the version of the routing table and the revision of
+     * Sends a heartbeat at once, which states the version of the routing table and the position of
      * the endpoints.
      */
     private void announceState() {
@@ -320,7 +320,7 @@
                                 self,
                                 incarnation,
                                 fleetState.tableVersion(),
-                                fleetState.endpointRevision(),
+                                fleetState.endpointPosition(),
                                 isEnding,
                                 storeContact,
                                 observations.loads().ownCounts(),
@@ -424,11 +424,11 @@
     private void requestSnapshotIfBehind(Heartbeat heartbeat, long nowMillis) {
         boolean isBehind =
                 heartbeat.tableVersion() > fleetState.tableVersion()
-                        || heartbeat.endpointRevision() > fleetState.endpointRevision();
+                        || heartbeat.endpointPosition().isAfter(fleetState.endpointPosition());
         if (!isBehind) {
             return;
         }
-        List<Long> state = List.of(fleetState.tableVersion(), fleetState.endpointRevision());
+        List<Object> state = List.of(fleetState.tableVersion(), fleetState.endpointPosition());
         if (!state.equals(behindState)) {
             behindState = state;
             behindSinceMillis = nowMillis;
@@ -455,7 +455,7 @@
         if (nowMillis - snapshotRequestedMillis >= SNAPSHOT_INTERVAL_MILLIS) {
             snapshotRequestedMillis = nowMillis;
             SnapshotRequest request =
-                    new SnapshotRequest(fleetState.tableVersion(), fleetState.endpointRevision());
+                    new SnapshotRequest(fleetState.tableVersion(), fleetState.endpointPosition());
             send(peer.address(), FleetCodec.encode(request), nowMillis);
         }
     }
--- a/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/fleet/FleetCodec.java
+++ b/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/fleet/FleetCodec.java
@@ -1,6 +1,9 @@
 package io.chicorytrestle.gateway.fleet;
 
 import io.chicorytrestle.core.fleet.StoreContact;
+import io.chicorytrestle.core.fleet.StorePosition;
+import io.chicorytrestle.core.placement.ColdReport;
+import io.chicorytrestle.core.placement.Evacuations;
 import io.chicorytrestle.core.placement.Outcomes;
 import io.chicorytrestle.core.placement.ServingEndpoint;
 import io.chicorytrestle.core.poison.CrashNotice;
@@ -57,7 +60,8 @@
             } else if (message instanceof SnapshotRequest request) {
                 packer.packInt(SNAPSHOT_REQUEST);
                 packer.packLong(request.knownTableVersion());
-                packer.packLong(request.knownEndpointRevision());
+                packer.packLong(request.knownEndpointPosition().revision());
+                packer.packLong(request.knownEndpointPosition().era());
             } else if (message instanceof Snapshot snapshot) {
                 packer.packInt(SNAPSHOT);
                 pack(packer, snapshot);
@@ -120,7 +124,7 @@
         pack(packer, heartbeat.sender());
         packer.packLong(heartbeat.incarnation());
         packer.packLong(heartbeat.tableVersion());
-        packer.packLong(heartbeat.endpointRevision());
+        packer.packLong(heartbeat.endpointPosition().revision());
         packer.packBoolean(heartbeat.isEnding());
         packer.packInt(heartbeat.storeContact().code());
         packer.packMapHeader(heartbeat.requestsInFlight().size());
@@ -153,6 +157,7 @@
         }
         CrashCodec.packRecords(packer, heartbeat.crashes());
         EvacuationCodec.pack(packer, heartbeat.evacuations());
+        packer.packLong(heartbeat.endpointPosition().era());
     }
 
     /**
@@ -196,11 +201,12 @@
         if (unpacker.hasNext()) {
             crashes = CrashCodec.unpackRecords(unpacker);
         }
+        Evacuations evacuations = EvacuationCodec.unpack(unpacker);
         return new Heartbeat(
                 sender,
                 incarnation,
                 tableVersion,
-                endpointRevision,
+                new StorePosition(unpackEra(unpacker), endpointRevision),
                 isEnding,
                 storeContact,
                 requestsInFlight,
@@ -210,7 +216,18 @@
                 peers,
                 promptReads,
                 partCrashes,
-                EvacuationCodec.unpack(unpacker));
+                evacuations);
+    }
+
+    /**
+     * Reads an era of the store.
+     *
+     * @param unpacker Supplies the field.
+     * @return The era, or zero if the message ends before it, as that of an earlier version does.
+     * @throws IOException If the message is malformed.
+     */
+    static long unpackEra(MessageUnpacker unpacker) throws IOException {
+        return unpacker.hasNext() ? unpacker.unpackLong() : 0;
     }
 
     /**
@@ -297,12 +314,14 @@
     private static void pack(MessageBufferPacker packer, Snapshot snapshot) throws IOException {
         packer.packString(snapshot.sender());
         TableBytes.pack(packer, snapshot.table());
-        packer.packLong(snapshot.endpointRevision());
+        packer.packLong(snapshot.endpointPosition().revision());
         pack(packer, snapshot.endpoints());
         CrashCodec.packRecords(packer, snapshot.crashes());
         CrashCodec.packPartRecords(packer, snapshot.partCrashes());
         ColdReportCodec.pack(packer, snapshot.coldReports());
         EvacuationCodec.pack(packer, snapshot.evacuations());
+        packer.packLong(snapshot.endpointPosition().era());
+        ColdReportCodec.packEras(packer, snapshot.coldReports());
     }
 
     /**
@@ -322,15 +341,17 @@
                 unpacker.hasNext() ? CrashCodec.unpackRecords(unpacker) : List.of();
         List<PartCrashNotice> partCrashes =
                 unpacker.hasNext() ? CrashCodec.unpackPartRecords(unpacker) : List.of();
+        List<ColdReport> coldReports = ColdReportCodec.unpack(unpacker);
+        Evacuations evacuations = EvacuationCodec.unpack(unpacker);
         return new Snapshot(
                 sender,
                 table,
-                endpointRevision,
+                new StorePosition(unpackEra(unpacker), endpointRevision),
                 endpoints,
                 crashes,
                 partCrashes,
-                ColdReportCodec.unpack(unpacker),
-                EvacuationCodec.unpack(unpacker));
+                ColdReportCodec.unpackEras(unpacker, coldReports),
+                evacuations);
     }
 
     /**
@@ -342,9 +363,10 @@
      */
     private static SnapshotRequest unpackRequest(MessageUnpacker unpacker) throws IOException {
         long knownTableVersion = unpacker.unpackLong();
-        // Instances of earlier versions end their requests here.
+        // Instances of earlier versions end their requests here or after the next field.
+        long knownRevision = unpacker.hasNext() ? unpacker.unpackLong() : 0;
         return new SnapshotRequest(
-                knownTableVersion, unpacker.hasNext() ? unpacker.unpackLong() : 0);
+                knownTableVersion, new StorePosition(unpackEra(unpacker), knownRevision));
     }
 
     /**
@@ -357,11 +379,12 @@
     private static void pack(MessageBufferPacker packer, EndpointChanges changes)
             throws IOException {
         packer.packString(changes.sender());
-        packer.packLong(changes.baseRevision());
-        packer.packLong(changes.revision());
+        packer.packLong(changes.base().revision());
+        packer.packLong(changes.position().revision());
         pack(packer, changes.changed());
         packStrings(packer, changes.removed());
         ColdReportCodec.pack(packer, changes.coldReports());
+        packer.packLong(changes.position().era());
     }
 
     /**
@@ -377,8 +400,15 @@
         long revision = unpacker.unpackLong();
         List<ServingEndpoint> changed = unpackEndpoints(unpacker);
         List<String> removed = unpackStrings(unpacker);
+        List<ColdReport> coldReports = ColdReportCodec.unpack(unpacker);
+        long era = unpackEra(unpacker);
         return new EndpointChanges(
-                sender, baseRevision, revision, changed, removed, ColdReportCodec.unpack(unpacker));
+                sender,
+                new StorePosition(era, baseRevision),
+                new StorePosition(era, revision),
+                changed,
+                removed,
+                coldReports.stream().map(report -> ColdReportCodec.inEra(report, era)).toList());
     }
 
     /**
--- a/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/fleet/FleetState.java
+++ b/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/fleet/FleetState.java
@@ -3,6 +3,7 @@
 import com.google.common.flogger.FluentLogger;
 import io.chicorytrestle.core.blackboard.Blackboard;
 import io.chicorytrestle.core.blackboard.Controller;
+import io.chicorytrestle.core.fleet.StorePosition;
 import io.chicorytrestle.core.placement.ColdEndpoints;
 import io.chicorytrestle.core.placement.ColdReport;
 import io.chicorytrestle.core.placement.EndpointDirectory;
@@ -44,8 +45,8 @@
     /** Whether endpoints were ever listed. */
     private boolean hasListed;
 
-    /** The store's revision of the newest known change of endpoints. */
-    private long endpointRevision;
+    /** The store's position of the newest known change of endpoints. */
+    private StorePosition endpointPosition = StorePosition.UNKNOWN;
 
     /** The encoded form of the current routing table, as it was published. */
     private byte[] publishedTable = new byte[0];
@@ -106,27 +107,37 @@
     }
 
     /**
-     * Replaces all endpoints by a complete list from the store, unless a newer revision is known: a
+     * Replaces all endpoints by a complete list from the store, unless a later position is known: a
      * peer's message may overtake the list. Then only leaving endpoints are marked so.
      *
      * @param endpoints The endpoints.
-     * @param revision The store's revision at the time of the list.
+     * @param position The store's position at the time of the list.
      * @param nowMillis The current time in milliseconds.
      */
     public void replaceFromStore(
-            Collection<ServingEndpoint> endpoints, long revision, long nowMillis) {
-        if (revision < endpointRevision) {
+            Collection<ServingEndpoint> endpoints, StorePosition position, long nowMillis) {
+        if (endpointPosition.isAfter(position)) {
             keepLeaving(endpoints, "store", nowMillis);
             LOGGER.atInfo()
-                    .with(LogFields.VERSION, revision)
-                    .with(LogFields.REASON, "revision " + endpointRevision + " is known")
+                    .with(LogFields.VERSION, position.revision())
+                    .with(LogFields.REASON, describe(endpointPosition) + " is known")
                     .log("endpoint_list_overtaken");
             return;
         }
-        endpointRevision = revision;
+        endpointPosition = position;
         publish(directory.replace(endpoints, nowMillis), "store", nowMillis);
     }
 
+    /**
+     * Returns the text with which a position is logged.
+     *
+     * @param position The position.
+     * @return The revision and the era.
+     */
+    private static String describe(StorePosition position) {
+        return "revision " + position.revision() + " of era " + position.era();
+    }
+
     /**
      * Marks an incarnation as leaving, so that it gets no more requests.
      *
@@ -150,21 +161,24 @@
     }
 
     /**
-     * Replaces all endpoints by those of a peer, if the peer knows a newer revision. Otherwise only
+     * Replaces all endpoints by those of a peer, if the peer knows a later position. Otherwise only
      * those that are leaving are marked so.
      *
      * @param endpoints The endpoints.
-     * @param revision The store's revision of the newest change known to the peer.
+     * @param position The store's position of the newest change known to the peer.
      * @param peer The name of the peer; logged.
      * @param nowMillis The current time in milliseconds.
      */
     public void applyFromPeer(
-            Collection<ServingEndpoint> endpoints, long revision, String peer, long nowMillis) {
-        if (revision <= endpointRevision) {
+            Collection<ServingEndpoint> endpoints,
+            StorePosition position,
+            String peer,
+            long nowMillis) {
+        if (!position.isAfter(endpointPosition)) {
             keepLeaving(endpoints, peer, nowMillis);
             return;
         }
-        endpointRevision = revision;
+        endpointPosition = position;
         publish(directory.replace(endpoints, nowMillis), peer, nowMillis);
     }
 
@@ -177,7 +191,7 @@
     public void applyFromPeer(Snapshot snapshot, long nowMillis) {
         recordCold(snapshot.coldReports(), nowMillis);
         applyFromPeer(
-                snapshot.endpoints(), snapshot.endpointRevision(), snapshot.sender(), nowMillis);
+                snapshot.endpoints(), snapshot.endpointPosition(), snapshot.sender(), nowMillis);
     }
 
     /**
@@ -190,13 +204,11 @@
      */
     public void applyFromPeer(EndpointChanges changes, long nowMillis) {
         recordCold(changes.coldReports(), nowMillis);
-        boolean isContiguous =
-                changes.baseRevision() <= endpointRevision && changes.revision() > endpointRevision;
-        if (!isContiguous) {
+        if (!changes.isContiguous(endpointPosition)) {
             keepLeaving(changes.changed(), changes.sender(), nowMillis);
             return;
         }
-        endpointRevision = changes.revision();
+        endpointPosition = changes.position();
         publish(updateDirectory(changes, nowMillis), changes.sender(), nowMillis);
     }
 
@@ -236,12 +248,12 @@
     }
 
     /**
-     * Returns the store's revision of the newest known change of endpoints.
+     * Returns the store's position of the newest known change of endpoints.
      *
-     * @return The revision, or zero before the first endpoints were received.
+     * @return The position, unknown before the first endpoints were received.
      */
-    public long endpointRevision() {
-        return endpointRevision;
+    public StorePosition endpointPosition() {
+        return endpointPosition;
     }
 
     /**
@@ -266,7 +278,7 @@
      * Records what entries state of how long their endpoints are cold. Must be called before the
      * endpoints themselves are applied, so that none is used before it is known to be cold.
      *
-     * @param reports The reports, each ordered by the revision of its entry.
+     * @param reports The reports, each ordered by the position of its entry.
      * @param nowMillis The current time in milliseconds.
      */
     public void recordCold(List<ColdReport> reports, long nowMillis) {
@@ -292,7 +304,7 @@
      * @return {@code true} if the set is new to this instance.
      */
     public boolean acceptEvacuations(Evacuations evacuations, String source, long nowMillis) {
-        if (evacuations.revision() <= directory.evacuations().revision()) {
+        if (!evacuations.position().isAfter(directory.evacuations().position())) {
             return false;
         }
         Set<String> changed = directory.accept(evacuations, nowMillis);
@@ -302,7 +314,7 @@
                     .with(
                             LogFields.OUTCOME,
                             evacuations.zones().contains(zone) ? "evacuated" : "taken back")
-                    .with(LogFields.VERSION, evacuations.revision())
+                    .with(LogFields.VERSION, evacuations.position().revision())
                     .with(LogFields.REASON, source)
                     .log("zone_evacuation_changed");
         }
--- a/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/fleet/Heartbeat.java
+++ b/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/fleet/Heartbeat.java
@@ -1,6 +1,7 @@
 package io.chicorytrestle.gateway.fleet;
 
 import io.chicorytrestle.core.fleet.StoreContact;
+import io.chicorytrestle.core.fleet.StorePosition;
 import io.chicorytrestle.core.placement.Evacuations;
 import io.chicorytrestle.core.placement.Outcomes;
 import io.chicorytrestle.core.poison.CrashNotice;
@@ -14,7 +15,7 @@
  * @param sender The address and zone of the sender.
  * @param incarnation The number that distinguishes this process from earlier ones of the same name.
  * @param tableVersion The version of the sender's current routing table.
- * @param endpointRevision The store's revision of the newest change of endpoints known to the
+ * @param endpointPosition The store's position of the newest change of endpoints known to the
  *     sender.
  * @param isEnding Whether the sender accepts no more work.
  * @param storeContact How the sender receives endpoint changes.
@@ -33,7 +34,7 @@
         PeerAddress sender,
         long incarnation,
         long tableVersion,
-        long endpointRevision,
+        StorePosition endpointPosition,
         boolean isEnding,
         StoreContact storeContact,
         Map<String, Integer> requestsInFlight,
--- a/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/fleet/Snapshot.java
+++ b/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/fleet/Snapshot.java
@@ -1,5 +1,6 @@
 package io.chicorytrestle.gateway.fleet;
 
+import io.chicorytrestle.core.fleet.StorePosition;
 import io.chicorytrestle.core.placement.ColdReport;
 import io.chicorytrestle.core.placement.Evacuations;
 import io.chicorytrestle.core.placement.ServingEndpoint;
@@ -14,7 +15,7 @@
  * @param sender The name of the instance.
  * @param table The encoded routing table as it was published, or empty if the receiver has that
  *     version or a newer one.
- * @param endpointRevision The store's revision of the newest change of endpoints known to the
+ * @param endpointPosition The store's position of the newest change of endpoints known to the
  *     sender.
  * @param endpoints The endpoints known to the sender.
  * @param crashes The crashes by request content that the sender has recorded.
@@ -25,7 +26,7 @@
 public record Snapshot(
         String sender,
         ByteBuffer table,
-        long endpointRevision,
+        StorePosition endpointPosition,
         List<ServingEndpoint> endpoints,
         List<CrashNotice> crashes,
         List<PartCrashNotice> partCrashes,
--- a/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/fleet/SnapshotFactory.java
+++ b/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/fleet/SnapshotFactory.java
@@ -1,5 +1,6 @@
 package io.chicorytrestle.gateway.fleet;
 
+import io.chicorytrestle.core.fleet.StorePosition;
 import java.nio.ByteBuffer;
 import java.util.List;
 
@@ -40,11 +41,12 @@
      */
     Snapshot reply(SnapshotRequest request, long nowMillis) {
         boolean hasTable = request.knownTableVersion() < fleetState.tableVersion();
-        boolean hasEndpoints = request.knownEndpointRevision() < fleetState.endpointRevision();
+        boolean hasEndpoints =
+                fleetState.endpointPosition().isAfter(request.knownEndpointPosition());
         return new Snapshot(
                 sender,
                 ByteBuffer.wrap(hasTable ? fleetState.publishedTable() : new byte[0]),
-                hasEndpoints ? fleetState.endpointRevision() : 0,
+                hasEndpoints ? fleetState.endpointPosition() : StorePosition.UNKNOWN,
                 hasEndpoints ? List.copyOf(fleetState.endpoints()) : List.of(),
                 observations.crashes().records(nowMillis),
                 observations.partCrashes().records(nowMillis),
--- a/chicorytrestle-gateway/src/test/java/io/chicorytrestle/gateway/fleet/FleetCodecTest.java
+++ b/chicorytrestle-gateway/src/test/java/io/chicorytrestle/gateway/fleet/FleetCodecTest.java
@@ -5,6 +5,7 @@
 import static org.junit.jupiter.api.Assertions.assertThrows;
 
 import io.chicorytrestle.core.fleet.StoreContact;
+import io.chicorytrestle.core.fleet.StorePosition;
 import io.chicorytrestle.core.placement.ColdReport;
 import io.chicorytrestle.core.placement.Evacuations;
 import io.chicorytrestle.core.placement.Outcomes;
@@ -27,7 +28,8 @@
     private static final ServingEndpoint ENDPOINT =
             new ServingEndpoint("e", "s", "10.0.0.2:8", "z", 64, true, 1_700_000_000_000L);
 
-    private static final Evacuations EVACUATIONS = new Evacuations(1_000, Set.of("x", "z"));
+    private static final Evacuations EVACUATIONS =
+            new Evacuations(new StorePosition(70_000, 1_000), Set.of("x", "z"));
 
     @Test
     void testDecodeWhenHeartbeat() throws IOException {
@@ -36,7 +38,7 @@
                         SENDER,
                         -5,
                         7,
-                        412,
+                        new StorePosition(70_001, 412),
                         true,
                         StoreContact.READING,
                         Map.of("e@1", 3),
@@ -93,7 +95,7 @@
                 SENDER,
                 1,
                 1,
-                1,
+                new StorePosition(0, 1),
                 false,
                 StoreContact.FOLLOWING,
                 Map.of(),
@@ -109,8 +111,9 @@
     /** Encodes a message as instances of an earlier version do. */
     private static byte[] encodeWithoutEvacuations(FleetMessage message) {
         byte[] encoded = FleetCodec.encode(message);
-        int evacuationBytes = 2;
-        return Arrays.copyOf(encoded, encoded.length - evacuationBytes);
+        int evacuationBytes = 3;
+        int endpointEraBytes = message instanceof Snapshot ? 2 : 1;
+        return Arrays.copyOf(encoded, encoded.length - evacuationBytes - endpointEraBytes);
     }
 
     @Test
@@ -119,14 +122,32 @@
         byte[] encoded = FleetCodec.encode(notice);
 
         assertThat(FleetCodec.decode(encoded), equalTo(notice));
-        byte[] truncated = Arrays.copyOf(encoded, encoded.length - 1);
-        assertThrows(IOException.class, () -> FleetCodec.decode(truncated));
+        int eraBytes = 5;
+        for (int missing = 1; missing <= eraBytes + 1; missing++) {
+            byte[] truncated = Arrays.copyOf(encoded, encoded.length - missing);
+            if (missing != eraBytes) {
+                assertThrows(IOException.class, () -> FleetCodec.decode(truncated));
+            }
+        }
+    }
+
+    @Test
+    void testDecodeWhenEvacuationNoticeIsOfAnEarlierVersion() throws IOException {
+        Evacuations evacuations = new Evacuations(new StorePosition(0, 5), Set.of("x"));
+        byte[] encoded = FleetCodec.encode(new EvacuationNotice("a", evacuations));
+
+        assertThat(
+                FleetCodec.decode(Arrays.copyOf(encoded, encoded.length - 1)),
+                equalTo(new EvacuationNotice("a", evacuations)));
     }
 
     @Test
     void testDecodeWhenRevisionOfEvacuationsIsNegative() {
-        byte[] encoded = FleetCodec.encode(new EvacuationNotice("a", new Evacuations(5, Set.of())));
-        encoded[encoded.length - 2] = -1;
+        byte[] encoded =
+                FleetCodec.encode(
+                        new EvacuationNotice(
+                                "a", new Evacuations(new StorePosition(0, 5), Set.of())));
+        encoded[encoded.length - 3] = -1;
 
         assertThrows(IOException.class, () -> FleetCodec.decode(encoded));
     }
@@ -151,11 +172,13 @@
                 new Snapshot(
                         "a",
                         ByteBuffer.wrap(new byte[] {1, 2}),
-                        9,
+                        new StorePosition(70_000, 9),
                         List.of(ENDPOINT),
                         List.of(new CrashNotice("ab12", Map.of("e@1", 70L), List.of("f@2"))),
                         List.of(new PartCrashNotice("5c1e", List.of("e@1"), 4, 90)),
-                        List.of(new ColdReport("e@1", 8, 2_500)),
+                        List.of(
+                                new ColdReport("e@1", new StorePosition(70_000, 8), 2_500),
+                                new ColdReport("f@2", new StorePosition(69_999, 90), 0)),
                         EVACUATIONS);
 
         assertThat(FleetCodec.decode(FleetCodec.encode(snapshot)), equalTo(snapshot));
@@ -167,7 +190,7 @@
                 new Snapshot(
                         "a",
                         ByteBuffer.allocate(0),
-                        9,
+                        new StorePosition(0, 9),
                         List.of(ENDPOINT),
                         List.of(new CrashNotice("ab12", List.of())),
                         List.of(),
@@ -182,7 +205,7 @@
                         new Snapshot(
                                 "a",
                                 ByteBuffer.allocate(0),
-                                9,
+                                new StorePosition(0, 9),
                                 List.of(ENDPOINT),
                                 List.of(),
                                 List.of(),
@@ -197,7 +220,7 @@
                         new Snapshot(
                                 "a",
                                 ByteBuffer.allocate(0),
-                                9,
+                                new StorePosition(0, 9),
                                 List.of(),
                                 List.of(),
                                 List.of(),
@@ -216,11 +239,11 @@
         EndpointChanges changes =
                 new EndpointChanges(
                         "a",
-                        3,
-                        9,
+                        new StorePosition(70_000, 3),
+                        new StorePosition(70_000, 9),
                         List.of(ENDPOINT),
                         List.of("gone"),
-                        List.of(new ColdReport("e@1", 8, 0)));
+                        List.of(new ColdReport("e@1", new StorePosition(70_000, 8), 0)));
 
         assertThat(FleetCodec.decode(FleetCodec.encode(changes)), equalTo(changes));
     }
@@ -228,19 +251,28 @@
     @Test
     void testDecodeWhenEndpointChangesAreOfAnEarlierVersion() throws IOException {
         EndpointChanges changes =
-                new EndpointChanges("a", 3, 9, List.of(ENDPOINT), List.of("gone"), List.of());
+                new EndpointChanges(
+                        "a",
+                        new StorePosition(0, 3),
+                        new StorePosition(0, 9),
+                        List.of(ENDPOINT),
+                        List.of("gone"),
+                        List.of());
         byte[] encoded = FleetCodec.encode(changes);
 
-        assertThat(FleetCodec.decode(Arrays.copyOf(encoded, encoded.length - 1)), equalTo(changes));
+        for (int missing = 1; missing <= 2; missing++) {
+            byte[] truncated = Arrays.copyOf(encoded, encoded.length - missing);
+            assertThat(FleetCodec.decode(truncated), equalTo(changes));
+        }
     }
 
     @Test
     void testDecodeWhenMessageIsTruncated() {
-        byte[] encoded = FleetCodec.encode(new SnapshotRequest(70_000, 70_000));
-        int earlierBytes = 6;
+        byte[] encoded = FleetCodec.encode(request());
+        Set<Integer> earlierBytes = Set.of(6, 11);
 
         for (int length = 0; length < encoded.length; length++) {
-            if (length != earlierBytes) {
+            if (!earlierBytes.contains(length)) {
                 byte[] truncated = Arrays.copyOf(encoded, length);
                 assertThrows(IOException.class, () -> FleetCodec.decode(truncated));
             }
@@ -249,11 +281,69 @@
 
     @Test
     void testDecodeWhenSnapshotRequestIsOfAnEarlierVersion() throws IOException {
-        byte[] encoded = FleetCodec.encode(new SnapshotRequest(70_000, 70_000));
+        byte[] encoded = FleetCodec.encode(request());
 
         assertThat(
                 FleetCodec.decode(Arrays.copyOf(encoded, 6)),
-                equalTo(new SnapshotRequest(70_000, 0)));
+                equalTo(new SnapshotRequest(70_000, StorePosition.UNKNOWN)));
+        assertThat(
+                FleetCodec.decode(Arrays.copyOf(encoded, 11)),
+                equalTo(new SnapshotRequest(70_000, new StorePosition(0, 70_000))));
+    }
+
+    @Test
+    void testDecodeWhenSnapshotRequest() throws IOException {
+        assertThat(FleetCodec.decode(FleetCodec.encode(request())), equalTo(request()));
+    }
+
+    private static SnapshotRequest request() {
+        return new SnapshotRequest(70_000, new StorePosition(70_000, 70_000));
+    }
+
+    @Test
+    void testDecodeWhenEraIsNegative() {
+        byte[] encoded = FleetCodec.encode(heartbeat(List.of()));
+        encoded[encoded.length - 1] = -1;
+
+        assertThrows(IOException.class, () -> FleetCodec.decode(encoded));
+    }
+
+    @Test
+    void testDecodeWhenHeartbeatIsOfAVersionWithoutEras() throws IOException {
+        Heartbeat heartbeat = heartbeat(List.of());
+        byte[] encoded = FleetCodec.encode(heartbeat);
+        int eraBytes = 2;
+
+        assertThat(
+                FleetCodec.decode(Arrays.copyOf(encoded, encoded.length - eraBytes)),
+                equalTo(heartbeat));
+    }
+
+    @Test
+    void testDecodeWhenMessageHasFurtherFields() throws IOException {
+        byte[] encoded = FleetCodec.encode(request());
+
+        assertThat(
+                FleetCodec.decode(Arrays.copyOf(encoded, encoded.length + 3)), equalTo(request()));
+    }
+
+    @Test
+    void testDecodeWhenNumberOfErasDiffersFromThatOfColdReports() {
+        byte[] encoded =
+                FleetCodec.encode(
+                        new Snapshot(
+                                "a",
+                                ByteBuffer.allocate(0),
+                                new StorePosition(1, 9),
+                                List.of(),
+                                List.of(),
+                                List.of(),
+                                List.of(),
+                                Evacuations.UNKNOWN));
+        // MessagePack for an array of one element.
+        encoded[encoded.length - 1] = (byte) 0x91;
+
+        assertThrows(IOException.class, () -> FleetCodec.decode(encoded));
     }
 
     @Test
--- a/chicorytrestle-gateway/src/test/java/io/chicorytrestle/gateway/fleet/FleetConnectionsTest.java
+++ b/chicorytrestle-gateway/src/test/java/io/chicorytrestle/gateway/fleet/FleetConnectionsTest.java
@@ -6,6 +6,7 @@
 
 import io.activej.eventloop.Eventloop;
 import io.activej.net.SimpleServer;
+import io.chicorytrestle.core.fleet.StorePosition;
 import io.chicorytrestle.gateway.link.Addresses;
 import java.io.IOException;
 import java.io.InputStream;
@@ -57,7 +58,11 @@
             try (Socket silent = peer.accept();
                     Socket next = accept(peer)) {
                 assertThat(next.getPort() == silent.getPort(), equalTo(false));
-                assertThat(readFrame(next), equalTo(FleetCodec.encode(new SnapshotRequest(1, 0))));
+                assertThat(
+                        readFrame(next),
+                        equalTo(
+                                FleetCodec.encode(
+                                        new SnapshotRequest(1, new StorePosition(0, 0)))));
             }
         }
     }
@@ -87,7 +92,9 @@
         startSending(Integer.parseInt(address.substring(address.indexOf(':') + 1)));
 
         for (int count = 0; count < 2 * CONTACT_MILLIS / HEARTBEAT_INTERVAL_MILLIS; count++) {
-            assertThat(received.poll(30, TimeUnit.SECONDS), equalTo(new SnapshotRequest(1, 0)));
+            assertThat(
+                    received.poll(30, TimeUnit.SECONDS),
+                    equalTo(new SnapshotRequest(1, new StorePosition(0, 0))));
         }
         assertThat(accepted.size(), lessThanOrEqualTo(1));
         reactor.execute(server::close);
@@ -112,7 +119,11 @@
     private void sendNext(String address) {
         long nowMillis = reactor.currentTimeMillis();
         connections.closeSilent(nowMillis);
-        connections.send(address, FleetCodec.encode(new SnapshotRequest(1, 0)), true, nowMillis);
+        connections.send(
+                address,
+                FleetCodec.encode(new SnapshotRequest(1, new StorePosition(0, 0))),
+                true,
+                nowMillis);
         reactor.delayBackground(HEARTBEAT_INTERVAL_MILLIS, () -> sendNext(address));
     }
 }
--- a/chicorytrestle-gateway/src/test/java/io/chicorytrestle/gateway/fleet/FleetMembershipTest.java
+++ b/chicorytrestle-gateway/src/test/java/io/chicorytrestle/gateway/fleet/FleetMembershipTest.java
@@ -10,6 +10,7 @@
 import static org.hamcrest.Matchers.is;
 
 import io.chicorytrestle.core.fleet.StoreContact;
+import io.chicorytrestle.core.fleet.StorePosition;
 import io.chicorytrestle.core.placement.Evacuations;
 import java.util.ArrayList;
 import java.util.HashSet;
@@ -177,7 +178,7 @@
                 peer(address, zone),
                 1,
                 1,
-                1,
+                new StorePosition(0, 1),
                 isEnding,
                 StoreContact.READING,
                 Map.of(),
--- a/chicorytrestle-gateway/src/test/java/io/chicorytrestle/gateway/fleet/FleetStateTest.java
+++ b/chicorytrestle-gateway/src/test/java/io/chicorytrestle/gateway/fleet/FleetStateTest.java
@@ -7,12 +7,15 @@
 import static org.hamcrest.Matchers.is;
 
 import io.chicorytrestle.core.blackboard.Blackboard;
+import io.chicorytrestle.core.fleet.StorePosition;
+import io.chicorytrestle.core.placement.Evacuations;
 import io.chicorytrestle.core.placement.PlacementTopics;
 import io.chicorytrestle.core.placement.ServingEndpoint;
 import io.chicorytrestle.core.route.RequestLimits;
 import io.chicorytrestle.core.route.RoutingTable;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Set;
 import org.junit.jupiter.api.Test;
 
 class FleetStateTest {
@@ -41,28 +44,42 @@
 
     @Test
     void testApplyFromPeerWhenChangesAreContiguous() {
-        state.replaceFromStore(List.of(FIRST), 10, 0);
+        state.replaceFromStore(List.of(FIRST), new StorePosition(0, 10), 0);
         state.applyFromPeer(
-                new EndpointChanges("p", 10, 12, List.of(SECOND), List.of(), List.of()), 1);
+                new EndpointChanges(
+                        "p",
+                        new StorePosition(0, 10),
+                        new StorePosition(0, 12),
+                        List.of(SECOND),
+                        List.of(),
+                        List.of()),
+                1);
 
         assertThat(servingEndpoints(), contains(FIRST, SECOND));
-        assertThat(state.endpointRevision(), equalTo(12L));
+        assertThat(state.endpointPosition(), equalTo(new StorePosition(0, 12)));
     }
 
     @Test
     void testApplyFromPeerWhenRevisionsAreMissing() {
-        state.replaceFromStore(List.of(FIRST), 10, 0);
+        state.replaceFromStore(List.of(FIRST), new StorePosition(0, 10), 0);
         state.applyFromPeer(
-                new EndpointChanges("p", 11, 12, List.of(SECOND), List.of(), List.of()), 1);
+                new EndpointChanges(
+                        "p",
+                        new StorePosition(0, 11),
+                        new StorePosition(0, 12),
+                        List.of(SECOND),
+                        List.of(),
+                        List.of()),
+                1);
 
         assertThat(servingEndpoints(), contains(FIRST));
-        assertThat(state.endpointRevision(), equalTo(10L));
+        assertThat(state.endpointPosition(), equalTo(new StorePosition(0, 10)));
     }
 
     @Test
     void testApplyFromPeerWhenSnapshotIsOlder() {
-        state.replaceFromStore(List.of(FIRST, SECOND), 10, 0);
-        state.applyFromPeer(List.of(FIRST), 9, "p", 1);
+        state.replaceFromStore(List.of(FIRST, SECOND), new StorePosition(0, 10), 0);
+        state.applyFromPeer(List.of(FIRST), new StorePosition(0, 9), "p", 1);
 
         assertThat(servingEndpoints(), contains(FIRST, SECOND));
     }
@@ -70,36 +87,43 @@
     /** Guards against an endpoint that a late listing of the store brings back. */
     @Test
     void testReplaceFromStoreWhenASnapshotHasOvertakenTheListing() {
-        state.applyFromPeer(List.of(SECOND), 6, "p", 0);
-        state.replaceFromStore(List.of(FIRST, SECOND), 5, 1);
+        state.applyFromPeer(List.of(SECOND), new StorePosition(0, 6), "p", 0);
+        state.replaceFromStore(List.of(FIRST, SECOND), new StorePosition(0, 5), 1);
         state.applyFromPeer(
-                new EndpointChanges("self", 6, 6, List.of(), List.of("1"), List.of()), 2);
+                new EndpointChanges(
+                        "self",
+                        new StorePosition(0, 6),
+                        new StorePosition(0, 6),
+                        List.of(),
+                        List.of("1"),
+                        List.of()),
+                2);
 
         assertThat(servingEndpoints(), contains(SECOND));
-        assertThat(state.endpointRevision(), equalTo(6L));
+        assertThat(state.endpointPosition(), equalTo(new StorePosition(0, 6)));
     }
 
     @Test
     void testReplaceFromStoreWhenALaterListingFollows() {
-        state.applyFromPeer(List.of(SECOND), 6, "p", 0);
-        state.replaceFromStore(List.of(FIRST, SECOND), 5, 1);
-        state.replaceFromStore(List.of(FIRST), 7, 2);
+        state.applyFromPeer(List.of(SECOND), new StorePosition(0, 6), "p", 0);
+        state.replaceFromStore(List.of(FIRST, SECOND), new StorePosition(0, 5), 1);
+        state.replaceFromStore(List.of(FIRST), new StorePosition(0, 7), 2);
 
         assertThat(servingEndpoints(), contains(FIRST));
-        assertThat(state.endpointRevision(), equalTo(7L));
+        assertThat(state.endpointPosition(), equalTo(new StorePosition(0, 7)));
     }
 
     @Test
     void testReplaceFromStoreWhenAnOvertakenListingHasALeavingEndpoint() {
-        state.applyFromPeer(List.of(FIRST, SECOND), 6, "p", 0);
-        state.replaceFromStore(List.of(FIRST.asLeaving(), SECOND), 5, 1);
+        state.applyFromPeer(List.of(FIRST, SECOND), new StorePosition(0, 6), "p", 0);
+        state.replaceFromStore(List.of(FIRST.asLeaving(), SECOND), new StorePosition(0, 5), 1);
 
         assertThat(servingEndpoints(), contains(SECOND));
     }
 
     @Test
     void testMarkLeavingWhenPeerReportsIt() {
-        state.replaceFromStore(List.of(FIRST, SECOND), 10, 0);
+        state.replaceFromStore(List.of(FIRST, SECOND), new StorePosition(0, 10), 0);
         state.markLeaving(FIRST.incarnation(), "p", 1);
 
         assertThat(servingEndpoints(), contains(SECOND));
@@ -109,19 +133,24 @@
     /** Guards against a leaving endpoint of which only an overtaken message tells. */
     @Test
     void testApplyFromPeerWhenAnOlderSnapshotHasALeavingEndpoint() {
-        state.replaceFromStore(List.of(FIRST, SECOND), 10, 0);
-        state.applyFromPeer(List.of(FIRST.asLeaving()), 10, "p", 1);
+        state.replaceFromStore(List.of(FIRST, SECOND), new StorePosition(0, 10), 0);
+        state.applyFromPeer(List.of(FIRST.asLeaving()), new StorePosition(0, 10), "p", 1);
 
         assertThat(servingEndpoints(), contains(SECOND));
     }
 
     @Test
     void testApplyFromPeerWhenOlderChangesHaveALeavingEndpoint() {
-        state.replaceFromStore(List.of(FIRST, SECOND), 10, 0);
-        state.replaceFromStore(List.of(SECOND), 12, 1);
+        state.replaceFromStore(List.of(FIRST, SECOND), new StorePosition(0, 10), 0);
+        state.replaceFromStore(List.of(SECOND), new StorePosition(0, 12), 1);
         state.applyFromPeer(
                 new EndpointChanges(
-                        "p", 10, 12, List.of(FIRST.asLeaving()), List.of("1"), List.of()),
+                        "p",
+                        new StorePosition(0, 10),
+                        new StorePosition(0, 12),
+                        List.of(FIRST.asLeaving()),
+                        List.of("1"),
+                        List.of()),
                 2);
 
         assertThat(state.isLeaving(FIRST.incarnation()), is(true));
@@ -129,13 +158,76 @@
 
     @Test
     void testMarkLeavingWhenTwoPeersReportIt() {
-        state.replaceFromStore(List.of(FIRST, SECOND), 10, 0);
+        state.replaceFromStore(List.of(FIRST, SECOND), new StorePosition(0, 10), 0);
         state.markLeaving(FIRST.incarnation(), "p", 1);
         state.markLeaving(FIRST.incarnation(), "q", 2);
 
         assertThat(unavailableIncarnations, hasSize(1));
     }
 
+    /** Guards against endpoints that are missed since the store lost its latest revisions. */
+    @Test
+    void testReplaceFromStoreWhenStoreIsRestored() {
+        state.replaceFromStore(List.of(FIRST), new StorePosition(1, 10), 0);
+        state.replaceFromStore(List.of(FIRST, SECOND), new StorePosition(2, 4), 1);
+
+        assertThat(servingEndpoints(), contains(FIRST, SECOND));
+        assertThat(state.endpointPosition(), equalTo(new StorePosition(2, 4)));
+    }
+
+    @Test
+    void testReplaceFromStoreWhenListingIsOfAnEarlierEra() {
+        state.replaceFromStore(List.of(FIRST), new StorePosition(2, 4), 0);
+        state.replaceFromStore(List.of(FIRST.asLeaving(), SECOND), new StorePosition(1, 10), 1);
+
+        assertThat(state.endpoints(), contains(FIRST.asLeaving()));
+        assertThat(state.endpointPosition(), equalTo(new StorePosition(2, 4)));
+    }
+
+    @Test
+    void testApplyFromPeerWhenChangesAreOfAnEarlierEra() {
+        state.replaceFromStore(List.of(FIRST), new StorePosition(2, 4), 0);
+        state.applyFromPeer(changesTo(new StorePosition(1, 3), 5), 1);
+
+        assertThat(servingEndpoints(), contains(FIRST));
+        assertThat(state.endpointPosition(), equalTo(new StorePosition(2, 4)));
+    }
+
+    /** Guards against changes that follow a listing which this instance does not know. */
+    @Test
+    void testApplyFromPeerWhenChangesAreOfALaterEra() {
+        state.replaceFromStore(List.of(FIRST), new StorePosition(1, 10), 0);
+        state.applyFromPeer(changesTo(new StorePosition(2, 10), 12), 1);
+
+        assertThat(servingEndpoints(), contains(FIRST));
+        assertThat(state.endpointPosition(), equalTo(new StorePosition(1, 10)));
+    }
+
+    @Test
+    void testApplyFromPeerWhenSnapshotIsOfAnEarlierEra() {
+        state.replaceFromStore(List.of(FIRST), new StorePosition(2, 4), 0);
+        state.applyFromPeer(List.of(SECOND), new StorePosition(1, 10), "p", 1);
+        state.applyFromPeer(List.of(SECOND), new StorePosition(0, 99), "earlier build", 1);
+
+        assertThat(servingEndpoints(), contains(FIRST));
+    }
+
+    @Test
+    void testAcceptEvacuationsWhenStoreIsRestored() {
+        Evacuations before = new Evacuations(new StorePosition(1, 10), Set.of());
+        Evacuations restored = new Evacuations(new StorePosition(2, 4), Set.of("z"));
+
+        assertThat(state.acceptEvacuations(before, "store", 0), is(true));
+        assertThat(state.acceptEvacuations(restored, "store", 1), is(true));
+        assertThat(state.acceptEvacuations(before, "p", 2), is(false));
+        assertThat(state.evacuations(), equalTo(restored));
+    }
+
+    private static EndpointChanges changesTo(StorePosition base, long revision) {
+        return new EndpointChanges(
+                "p", base, base.withRevision(revision), List.of(SECOND), List.of(), List.of());
+    }
+
     private List<ServingEndpoint> servingEndpoints() {
         return blackboard.read(PlacementTopics.SERVING).endpointsOf("s");
     }
