--- a/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/fleet/FleetState.java
+++ b/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/fleet/FleetState.java
@@ -256,6 +256,15 @@
         return endpointPosition;
     }
 
+    /**
+     * Returns the latest era of the store from which anything is known.
+     *
+     * @return The era, or zero if none is known.
+     */
+    public long storeEra() {
+        return Math.max(endpointPosition.era(), evacuations().position().era());
+    }
+
     /**
      * Returns the incarnations that are known to accept no more requests.
      *
--- a/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/link/PooledHttpClient.java
+++ b/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/link/PooledHttpClient.java
@@ -8,9 +8,11 @@
 import io.activej.reactor.nio.NioReactor;
 import io.activej.reactor.schedule.ScheduledRunnable;
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
+import io.netty.handler.codec.http.EmptyHttpHeaders;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpObject;
 import io.netty.handler.codec.http.HttpRequestEncoder;
@@ -142,6 +144,9 @@
         /** The status code. */
         private final int status;
 
+        /** The headers. */
+        private final HttpHeaders headers;
+
         /** The body. */
         private final byte[] body;
 
@@ -149,10 +154,12 @@
          * Creates a new response.
          *
          * @param status The status code.
+         * @param headers The headers.
          * @param body The body.
          */
-        private Response(int status, byte[] body) {
+        private Response(int status, HttpHeaders headers, byte[] body) {
             this.status = status;
+            this.headers = headers;
             this.body = body;
         }
 
@@ -165,6 +172,16 @@
             return status;
         }
 
+        /**
+         * Returns the values of a header.
+         *
+         * @param name The name of the header, in any case.
+         * @return The values in their order in the response, none if it lacks the header.
+         */
+        public List<String> headers(String name) {
+            return List.copyOf(headers.getAll(name));
+        }
+
         /**
          * Returns the body.
          *
@@ -200,6 +217,9 @@
         /** The status code of the response being received. */
         private int status;
 
+        /** The headers of the response being received. */
+        private HttpHeaders headers = EmptyHttpHeaders.INSTANCE;
+
         /** Whether the response allows the connection to be reused. */
         private boolean isKeepAlive;
 
@@ -262,6 +282,7 @@
             }
             if (message instanceof HttpResponse head) {
                 status = head.status().code();
+                headers = head.headers();
                 isInterim = head.status().codeClass() == HttpStatusClass.INFORMATIONAL;
                 isKeepAlive = HttpUtil.isKeepAlive(head);
             }
@@ -289,7 +310,7 @@
                 connection.close();
             }
             if (promise != null) {
-                promise.set(new Response(status, responseBody.toByteArray()));
+                promise.set(new Response(status, headers, responseBody.toByteArray()));
             }
         }
 
--- a/chicorytrestle-gateway/src/test/java/io/chicorytrestle/gateway/fleet/FleetStateTest.java
+++ b/chicorytrestle-gateway/src/test/java/io/chicorytrestle/gateway/fleet/FleetStateTest.java
@@ -221,6 +221,7 @@
         assertThat(state.acceptEvacuations(restored, "store", 1), is(true));
         assertThat(state.acceptEvacuations(before, "p", 2), is(false));
         assertThat(state.evacuations(), equalTo(restored));
+        assertThat(state.storeEra(), equalTo(2L));
     }
 
     private static EndpointChanges changesTo(StorePosition base, long revision) {
--- a/chicorytrestle-gateway/src/test/java/io/chicorytrestle/gateway/link/PooledHttpClientTest.java
+++ b/chicorytrestle-gateway/src/test/java/io/chicorytrestle/gateway/link/PooledHttpClientTest.java
@@ -1,6 +1,7 @@
 package io.chicorytrestle.gateway.link;
 
 import static org.hamcrest.MatcherAssert.assertThat;
+import static org.hamcrest.Matchers.contains;
 import static org.hamcrest.Matchers.containsString;
 import static org.hamcrest.Matchers.endsWith;
 import static org.hamcrest.Matchers.equalTo;
@@ -100,6 +101,20 @@
         }
     }
 
+    @Test
+    void testGetWhenHeadersAreRepeated() throws Exception {
+        responses.add(
+                "HTTP/1.1 103 Early Hints\r\nX-A: 0\r\n\r\n"
+                        + "HTTP/1.1 200 OK\r\nx-a: 1\r\nX-A: 2\r\nContent-Length: 0\r\n\r\n");
+        CompletableFuture<List<String>> values = new CompletableFuture<>();
+        reactor.execute(
+                () ->
+                        client.get("/", TIMEOUT_MILLIS)
+                                .whenResult(response -> values.complete(response.headers("X-A"))));
+
+        assertThat(values.get(), contains("1", "2"));
+    }
+
     /** Guards against an interim response that is taken for the final one. */
     @Test
     void testGetWhenAnInterimResponsePrecedes() throws Exception {
