--- a/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/fleet/FleetCodec.java
+++ b/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/fleet/FleetCodec.java
@@ -190,12 +190,9 @@
         for (int remaining = unpacker.unpackArrayHeader(); remaining > 0; remaining--) {
             peers.add(unpackAddress(unpacker));
         }
-        Map<String, List<String>> promptReads = new HashMap<>();
         // Instances of earlier versions end their heartbeats here or after one of the next fields.
-        int endpoints = unpacker.hasNext() ? unpacker.unpackMapHeader() : 0;
-        for (int remaining = endpoints; remaining > 0; remaining--) {
-            promptReads.put(unpacker.unpackString(), unpackStrings(unpacker));
-        }
+        Map<String, List<String>> promptReads =
+                unpacker.hasNext() ? unpackPromptReads(unpacker) : Map.of();
         List<PartCrashNotice> partCrashes =
                 unpacker.hasNext() ? unpackPartCrashes(unpacker) : List.of();
         if (unpacker.hasNext()) {
@@ -230,6 +227,22 @@
         return unpacker.hasNext() ? unpacker.unpackLong() : 0;
     }
 
+    /**
+     * Reads the keys of prompt parts that endpoints read lately.
+     *
+     * @param unpacker Supplies the fields.
+     * @return The keys by incarnation of the endpoint.
+     * @throws IOException If the message is malformed.
+     */
+    private static Map<String, List<String>> unpackPromptReads(MessageUnpacker unpacker)
+            throws IOException {
+        Map<String, List<String>> promptReads = new HashMap<>();
+        for (int remaining = unpacker.unpackMapHeader(); remaining > 0; remaining--) {
+            promptReads.put(unpacker.unpackString(), unpackStrings(unpacker));
+        }
+        return promptReads;
+    }
+
     /**
      * Reads notices of crashes under prompt parts.
      *
--- a/chicorytrestle-gateway/src/test/java/io/chicorytrestle/gateway/link/PooledHttpClientTest.java
+++ b/chicorytrestle-gateway/src/test/java/io/chicorytrestle/gateway/link/PooledHttpClientTest.java
@@ -103,9 +103,8 @@
 
     @Test
     void testGetWhenHeadersAreRepeated() throws Exception {
-        responses.add(
-                "HTTP/1.1 103 Early Hints\r\nX-A: 0\r\n\r\n"
-                        + "HTTP/1.1 200 OK\r\nx-a: 1\r\nX-A: 2\r\nContent-Length: 0\r\n\r\n");
+        String interim = "HTTP/1.1 103 Early Hints\r\nX-A: 0\r\n\r\n";
+        responses.add(interim + "HTTP/1.1 200 OK\r\nx-a: 1\r\nX-A: 2\r\nContent-Length: 0\r\n\r\n");
         CompletableFuture<List<String>> values = new CompletableFuture<>();
         reactor.execute(
                 () ->
