Hold back removed endpoints that a restored store lists

Cause: the copy may be older than the removal of an endpoint, so that its entry is back until it lapses or is removed again. The endpoint had been gone for this instance, and got requests once more after it had left.

Change: removed incarnations are remembered for 10 minutes. One that the first listing of a later era lists gets no requests until its entry is written, or was listed for 4,000 ms, after which the entry of a silent endpoint has lapsed.

--- a/chicorytrestle-core/src/main/java/io/chicorytrestle/core/placement/EndpointDirectory.java
+++ b/chicorytrestle-core/src/main/java/io/chicorytrestle/core/placement/EndpointDirectory.java
@@ -88,7 +88,8 @@
     /**
      * Replaces all entries by a complete list of the endpoints from a store that came back from a
      * copy. An endpoint that the list lacks may be used for a moment, in which its entry comes
-     * back.
+     * back. One that was removed before gets no requests until its entry is written again or was
+     * listed for some time, since the copy may lack the removal.
      *
      * @param listed The endpoints of all services.
      * @param nowMillis The current time in milliseconds.
@@ -113,7 +114,8 @@
         Set<String> ids = new HashSet<>();
         for (ServingEndpoint endpoint : listed) {
             ids.add(endpoint.id());
-            put(endpoint, nowMillis).ifPresent(changes::add);
+            restored.recordListed(endpoint.incarnation(), isLaterEra, nowMillis);
+            list(endpoint, nowMillis).ifPresent(changes::add);
         }
         if (isFirst) {
             joinTimes.clear();
@@ -125,7 +127,7 @@
             if (ids.contains(endpoint.id())) {
                 continue;
             }
-            if (isLaterEra && !endpoint.isLeaving()) {
+            if (isLaterEra && isUsable(endpoint, nowMillis)) {
                 listedEndpoints.remove(endpoint.id());
                 restored.recordMissing(endpoint, nowMillis);
             } else {
@@ -135,6 +137,17 @@
         return changes;
     }
 
+    /**
+     * Returns {@code true} if a listed endpoint may get requests.
+     *
+     * @param endpoint The endpoint.
+     * @param nowMillis The current time in milliseconds.
+     * @return {@code true} unless it is leaving or may be gone although it is listed.
+     */
+    private boolean isUsable(ServingEndpoint endpoint, long nowMillis) {
+        return !endpoint.isLeaving() && !restored.isUnconfirmed(endpoint.incarnation(), nowMillis);
+    }
+
     /**
      * Removes the endpoints whose entries did not come back after the store had been restored.
      *
@@ -149,6 +162,22 @@
         return changes;
     }
 
+    /**
+     * Adds or replaces the entry of an endpoint, which was written since the last list.
+     *
+     * @param endpoint The endpoint.
+     * @param nowMillis The current time in milliseconds.
+     * @return The change, or empty if no new incarnation appeared, none began to leave, and none
+     *     that was listed may be used from now on.
+     */
+    public Optional<Change> put(ServingEndpoint endpoint, long nowMillis) {
+        boolean isConfirmed = restored.isUnconfirmed(endpoint.incarnation(), nowMillis);
+        restored.recordWritten(endpoint.incarnation());
+        Optional<Change> change = list(endpoint, nowMillis);
+        boolean isUsableAgain = isConfirmed && !isLeaving(endpoint.incarnation());
+        return isUsableAgain ? Optional.of(new Change(endpoint, ChangeKind.FOUND)) : change;
+    }
+
     /**
      * Adds or replaces the entry of an endpoint.
      *
@@ -156,7 +185,7 @@
      * @param nowMillis The current time in milliseconds.
      * @return The change, or empty if no new incarnation appeared and none began to leave.
      */
-    public Optional<Change> put(ServingEndpoint endpoint, long nowMillis) {
+    private Optional<Change> list(ServingEndpoint endpoint, long nowMillis) {
         if (endpoint.isLeaving()) {
             leavingIncarnations.put(endpoint.incarnation(), nowMillis);
         }
@@ -169,6 +198,9 @@
         Optional<ServingEndpoint> missing = restored.takeMissing(endpoint.id());
         ServingEndpoint listed = listedEndpoints.put(current.id(), current);
         ServingEndpoint before = listed == null ? missing.orElse(null) : listed;
+        if (before != null && !before.incarnation().equals(current.incarnation())) {
+            restored.recordRemoved(before.incarnation(), nowMillis);
+        }
         if (current.equals(before)) {
             return Optional.empty();
         }
@@ -200,7 +232,9 @@
         if (before == null) {
             return Optional.empty();
         }
-        if (!before.isLeaving()) {
+        boolean isLastResort = isUsable(before, nowMillis);
+        restored.recordRemoved(before.incarnation(), nowMillis);
+        if (isLastResort) {
             vanished.put(id, new VanishedEndpoint(before, nowMillis));
         }
         return Optional.of(new Change(before, ChangeKind.VANISHED));
@@ -226,7 +260,7 @@
         return listedEndpoints.values().stream()
                 .filter(endpoint -> endpoint.incarnation().equals(incarnation))
                 .findFirst()
-                .flatMap(endpoint -> put(endpoint.asLeaving(), nowMillis))
+                .flatMap(endpoint -> list(endpoint.asLeaving(), nowMillis))
                 .map(change -> new Change(change.endpoint(), ChangeKind.LEAVING));
     }
 
@@ -302,7 +336,8 @@
 
     /**
      * Returns the endpoints that may accept work. Where most entries of a service vanished, its
-     * vanished endpoints are included for the grace period. Those of evacuated zones never are.
+     * vanished endpoints are included for the grace period. Those of evacuated zones never are, nor
+     * those that may be gone although the store lists them again.
      *
      * @param nowMillis The current time in milliseconds.
      * @return An immutable snapshot.
@@ -310,6 +345,7 @@
     public ServingView view(long nowMillis) {
         vanished.values()
                 .removeIf(entry -> nowMillis - entry.vanishedMillis() >= vanishedGraceMillis);
+        restored.removeExpired(nowMillis);
         Map<String, List<ServingEndpoint>> ready = new HashMap<>();
         List<ServingEndpoint> withdrawn = new ArrayList<>();
         for (ServingEndpoint endpoint : usable(nowMillis)) {
@@ -349,7 +385,7 @@
     private List<ServingEndpoint> usable(long nowMillis) {
         return Stream.concat(
                         listedEndpoints.values().stream(), restored.missing(nowMillis).stream())
-                .filter(endpoint -> !endpoint.isLeaving())
+                .filter(endpoint -> isUsable(endpoint, nowMillis))
                 .filter(endpoint -> !leavingIncarnations.containsKey(endpoint.incarnation()))
                 .toList();
     }
@@ -402,7 +438,7 @@
     /** Enumerates the kinds of change to an endpoint. */
     public enum ChangeKind {
 
-        /** A new incarnation appeared. */
+        /** A new incarnation appeared, or one that may have been gone is alive. */
         FOUND,
 
         /** The incarnation finishes its work and accepts no more. */
--- a/chicorytrestle-core/src/test/java/io/chicorytrestle/core/placement/EndpointDirectoryTest.java
+++ b/chicorytrestle-core/src/test/java/io/chicorytrestle/core/placement/EndpointDirectoryTest.java
@@ -209,6 +209,69 @@
         assertThat(ready(101), contains(SECOND));
     }
 
+    /** Guards against requests to an endpoint whose removal the copy of the store lacks. */
+    @Test
+    void testViewWhenARestoredStoreListsARemovedEndpoint() {
+        directory.replace(List.of(FIRST, SECOND), 0);
+        directory.remove("1", 100);
+        directory.replaceRestored(List.of(FIRST, SECOND), 200);
+        directory.replace(List.of(FIRST, SECOND), 300);
+
+        assertThat(directory.all(), containsInAnyOrder(FIRST, SECOND));
+        assertThat(ready(4_199), contains(SECOND));
+        assertThat(ready(4_200), contains(FIRST, SECOND));
+    }
+
+    @Test
+    void testViewWhenARemovedEndpointIsWrittenAfterTheRestore() {
+        directory.replace(List.of(FIRST, SECOND), 0);
+        directory.remove("1", 100);
+        directory.replaceRestored(List.of(FIRST, SECOND), 200);
+        directory.put(FIRST, 300);
+
+        assertThat(ready(301), contains(FIRST, SECOND));
+    }
+
+    @Test
+    void testViewWhenARemovedEndpointIsRemovedAgainAfterTheRestore() {
+        directory.replace(List.of(FIRST), 0);
+        directory.remove("1", 100);
+        directory.replaceRestored(List.of(FIRST), 200);
+        directory.remove("1", 300);
+
+        assertThat(ready(301), empty());
+    }
+
+    @Test
+    void testViewWhenAReplacedIncarnationIsListedAfterTheRestore() {
+        ServingEndpoint next =
+                new ServingEndpoint("1", Endpoints.SERVICE, FIRST.address(), "a", 64, false, 99);
+        directory.replace(List.of(FIRST, SECOND), 0);
+        directory.put(next, 100);
+        directory.replaceRestored(List.of(FIRST, SECOND), 200);
+
+        assertThat(ready(201), contains(SECOND));
+    }
+
+    @Test
+    void testViewWhenARemovalIsLongPast() {
+        directory.replace(List.of(FIRST, SECOND), 0);
+        directory.remove("1", 100);
+        directory.view(600_100);
+        directory.replaceRestored(List.of(FIRST, SECOND), 600_200);
+
+        assertThat(ready(600_201), contains(FIRST, SECOND));
+    }
+
+    @Test
+    void testViewWhenARemovedEndpointIsListedAgainInTheSameEra() {
+        directory.replace(List.of(FIRST, SECOND), 0);
+        directory.remove("1", 100);
+        directory.replace(List.of(FIRST, SECOND), 200);
+
+        assertThat(ready(201), contains(FIRST, SECOND));
+    }
+
     private List<ServingEndpoint> ready(long nowMillis) {
         return directory.view(nowMillis).endpointsOf(Endpoints.SERVICE);
     }
--- a/chicorytrestle-gateway/src/test/java/io/chicorytrestle/gateway/fleet/FleetStateTest.java
+++ b/chicorytrestle-gateway/src/test/java/io/chicorytrestle/gateway/fleet/FleetStateTest.java
@@ -190,6 +190,17 @@
         assertThat(unavailableIncarnations, contains(FIRST.incarnation()));
     }
 
+    @Test
+    void testReplaceFromStoreWhenARemovedEndpointIsListedAfterTheStoreWasRestored() {
+        state.replaceFromStore(List.of(FIRST, SECOND), new StorePosition(1, 10), 0);
+        state.replaceFromStore(List.of(FIRST), new StorePosition(1, 11), 1);
+        state.replaceFromStore(List.of(FIRST, SECOND), new StorePosition(2, 10), 2);
+        assertThat(servingEndpoints(), contains(FIRST));
+
+        state.applyFromPeer(changesTo(new StorePosition(2, 10), 12), 3);
+        assertThat(servingEndpoints(), contains(FIRST, SECOND));
+    }
+
     /** Guards against entries that outlive a listing of a store that states its era at last. */
     @Test
     void testReplaceFromStoreWhenTheFirstEraIsStated() {
