Keep evacuations that a restored store lacks for two seconds

Cause: the copy may be older than an evacuation. The first listing of the new era lacked it, so that requests went to the evacuated zone until the operator had written it again.

Change: an evacuation in force that the first set of a later era lacks holds for 2,000 ms more.

--- a/chicorytrestle-core/src/main/java/io/chicorytrestle/core/placement/EndpointDirectory.java
+++ b/chicorytrestle-core/src/main/java/io/chicorytrestle/core/placement/EndpointDirectory.java
@@ -308,12 +308,33 @@
      */
     public Set<String> accept(Evacuations evacuations, long nowMillis) {
         Set<String> changed = evacuatedZones.accept(evacuations, nowMillis);
+        recordReturning(nowMillis);
+        return changed;
+    }
+
+    /**
+     * Ends the evacuations that were not written again after the store had been restored.
+     *
+     * @param nowMillis The current time in milliseconds.
+     * @return The zones that are taken back by that, possibly none.
+     */
+    public Set<String> removeOverdueEvacuations(long nowMillis) {
+        Set<String> changed = evacuatedZones.removeOverdue(nowMillis);
+        recordReturning(nowMillis);
+        return changed;
+    }
+
+    /**
+     * Records when the endpoints of zones that were taken back join the others.
+     *
+     * @param nowMillis The current time in milliseconds.
+     */
+    private void recordReturning(long nowMillis) {
         for (ServingEndpoint endpoint : listedEndpoints.values()) {
             if (evacuatedZones.isReturning(endpoint, nowMillis)) {
                 joinTimes.put(endpoint.incarnation(), evacuatedZones.returnsAtMillis(endpoint));
             }
         }
-        return changed;
     }
 
     /**
@@ -325,6 +346,15 @@
         return evacuatedZones.current();
     }
 
+    /**
+     * Returns the set of evacuated zones that holds for this instance.
+     *
+     * @return The newest known set, with the zones that a restored store lacks for the moment.
+     */
+    public Evacuations evacuationsInForce() {
+        return evacuatedZones.inForce();
+    }
+
     /**
      * Returns all listed endpoints, leaving ones included.
      *
--- a/chicorytrestle-core/src/main/java/io/chicorytrestle/core/placement/EvacuatedZones.java
+++ b/chicorytrestle-core/src/main/java/io/chicorytrestle/core/placement/EvacuatedZones.java
@@ -16,14 +16,27 @@
     /** The time in milliseconds within which all endpoints of a zone that is taken back return. */
     static final long RETURN_MILLIS = 4_000;
 
+    /**
+     * The time in milliseconds for which an evacuation stays in force that the first set of a later
+     * era lacks. The operator writes it again within that time.
+     */
+    static final long MISSING_MILLIS = 2_000;
+
     /** The newest known set of evacuated zones. */
     private Evacuations current = Evacuations.UNKNOWN;
 
+    /**
+     * The zones whose evacuation the first set of a later era lacks, and the time in milliseconds
+     * at which it was received.
+     */
+    private final Map<String, Long> missingSinceMillis = new HashMap<>();
+
     /** The time in milliseconds at which each zone was evacuated or taken back. */
     private final Map<String, Long> changedMillis = new HashMap<>();
 
     /**
-     * Accepts a set of evacuated zones unless a newer one is known.
+     * Accepts a set of evacuated zones unless a newer one is known. An evacuation that the first
+     * set of a later era lacks stays in force for a moment.
      *
      * @param evacuations The set.
      * @param nowMillis The current time in milliseconds.
@@ -33,10 +46,38 @@
         if (!evacuations.position().isAfter(current.position())) {
             return Set.of();
         }
-        Set<String> changed =
-                Set.copyOf(Sets.symmetricDifference(current.zones(), evacuations.zones()));
-        changed.forEach(zone -> changedMillis.put(zone, nowMillis));
+        Set<String> before = inForce().zones();
+        long era = current.position().era();
+        if (era > 0 && evacuations.position().era() > era) {
+            before.forEach(zone -> missingSinceMillis.put(zone, nowMillis));
+        }
+        missingSinceMillis.keySet().removeAll(evacuations.zones());
         current = evacuations;
+        return recordChanges(before, nowMillis);
+    }
+
+    /**
+     * Ends the evacuations that were not written again after the store had been restored.
+     *
+     * @param nowMillis The current time in milliseconds.
+     * @return The zones that are taken back by that, possibly none.
+     */
+    Set<String> removeOverdue(long nowMillis) {
+        Set<String> before = inForce().zones();
+        missingSinceMillis.values().removeIf(since -> nowMillis - since >= MISSING_MILLIS);
+        return recordChanges(before, nowMillis);
+    }
+
+    /**
+     * Records which zones were evacuated or taken back.
+     *
+     * @param before The zones that were evacuated before.
+     * @param nowMillis The current time in milliseconds.
+     * @return The zones, possibly none.
+     */
+    private Set<String> recordChanges(Set<String> before, long nowMillis) {
+        Set<String> changed = Set.copyOf(Sets.symmetricDifference(before, inForce().zones()));
+        changed.forEach(zone -> changedMillis.put(zone, nowMillis));
         return changed;
     }
 
@@ -49,6 +90,19 @@
         return current;
     }
 
+    /**
+     * Returns the set of zones whose endpoints get no requests.
+     *
+     * @return The newest known set, with the zones that it lacks for the moment.
+     */
+    Evacuations inForce() {
+        return missingSinceMillis.isEmpty()
+                ? current
+                : new Evacuations(
+                        current.position(),
+                        Sets.union(current.zones(), missingSinceMillis.keySet()));
+    }
+
     /**
      * Returns {@code true} if no request may be sent to an endpoint.
      *
@@ -56,7 +110,8 @@
      * @return {@code true} if its zone is evacuated.
      */
     boolean isEvacuated(ServingEndpoint endpoint) {
-        return current.zones().contains(endpoint.zone());
+        return current.zones().contains(endpoint.zone())
+                || missingSinceMillis.containsKey(endpoint.zone());
     }
 
     /**
--- a/chicorytrestle-core/src/test/java/io/chicorytrestle/core/placement/EvacuatedZonesTest.java
+++ b/chicorytrestle-core/src/test/java/io/chicorytrestle/core/placement/EvacuatedZonesTest.java
@@ -108,6 +108,48 @@
         assertThat(all.recentlyJoined(), hasSize(40));
     }
 
+    /**
+     * Guards against requests to an evacuated zone whose evacuation the copy of the store lacks.
+     */
+    @Test
+    void testViewWhenARestoredStoreLacksAnEvacuation() {
+        directory.replace(List.of(IN_A, IN_B), 0);
+        directory.accept(new Evacuations(new StorePosition(1, 9), Set.of("a")), 0);
+        Evacuations restored = new Evacuations(new StorePosition(2, 4), Set.of());
+
+        assertThat(directory.accept(restored, 100), is(empty()));
+        assertThat(directory.evacuations(), equalTo(restored));
+        assertThat(directory.evacuationsInForce().zones(), contains("a"));
+        assertThat(directory.removeOverdueEvacuations(2_099), is(empty()));
+        assertThat(directory.view(2_099).endpointsOf(Endpoints.SERVICE), contains(IN_B));
+        assertThat(directory.removeOverdueEvacuations(2_100), contains("a"));
+        assertThat(directory.evacuationsInForce(), equalTo(restored));
+    }
+
+    @Test
+    void testViewWhenAMissingEvacuationIsWrittenAgainAndTakenBack() {
+        directory.replace(List.of(IN_A, IN_B), 0);
+        directory.accept(new Evacuations(new StorePosition(1, 9), Set.of("a")), 0);
+        directory.accept(new Evacuations(new StorePosition(2, 4), Set.of()), 100);
+
+        assertThat(
+                directory.accept(new Evacuations(new StorePosition(2, 5), Set.of("a")), 200),
+                is(empty()));
+        assertThat(directory.removeOverdueEvacuations(2_100), is(empty()));
+        assertThat(
+                directory.accept(new Evacuations(new StorePosition(2, 6), Set.of()), 2_200),
+                contains("a"));
+    }
+
+    @Test
+    void testAcceptWhenTheFirstEraIsStated() {
+        directory.accept(ZONE_A, 0);
+
+        assertThat(
+                directory.accept(new Evacuations(new StorePosition(2, 4), Set.of()), 100),
+                contains("a"));
+    }
+
     @Test
     void testViewWhenTheOnlyZoneIsTakenBack() {
         directory.replace(List.of(IN_A), 0);
--- a/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/fleet/FleetState.java
+++ b/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/fleet/FleetState.java
@@ -30,6 +30,9 @@
     /** Logs accepted routing tables and changes of endpoints. */
     private static final FluentLogger LOGGER = FluentLogger.forEnclosingClass();
 
+    /** The source logged with what a restored store still lacks after a moment. */
+    private static final String RESTORE_SOURCE = "missing after a restore";
+
     /** Receives the routing table and the view of endpoints. */
     private final Blackboard blackboard;
 
@@ -336,7 +339,19 @@
         if (!evacuations.position().isAfter(directory.evacuations().position())) {
             return false;
         }
-        Set<String> changed = directory.accept(evacuations, nowMillis);
+        publishEvacuations(directory.accept(evacuations, nowMillis), source, nowMillis);
+        return true;
+    }
+
+    /**
+     * Logs which zones were evacuated or taken back, and publishes those that are evacuated.
+     *
+     * @param changed The zones, possibly none.
+     * @param source Where the change came from; logged.
+     * @param nowMillis The current time in milliseconds.
+     */
+    private void publishEvacuations(Set<String> changed, String source, long nowMillis) {
+        Evacuations evacuations = directory.evacuationsInForce();
         for (String zone : changed) {
             LOGGER.atInfo()
                     .with(LogFields.ZONE, zone)
@@ -351,7 +366,6 @@
             refreshServingView(nowMillis);
         }
         blackboard.write(PlacementTopics.EVACUATIONS, evacuations);
-        return true;
     }
 
     /**
@@ -365,7 +379,11 @@
 
     @Override
     public void step(long nowMillis) {
-        publish(directory.removeOverdue(nowMillis), "missing after a restore", nowMillis);
+        publish(directory.removeOverdue(nowMillis), RESTORE_SOURCE, nowMillis);
+        Set<String> changedZones = directory.removeOverdueEvacuations(nowMillis);
+        if (!changedZones.isEmpty()) {
+            publishEvacuations(changedZones, RESTORE_SOURCE, nowMillis);
+        }
         coldEndpoints.removeExpired(directory.all(), nowMillis);
         refreshServingView(nowMillis);
     }
--- a/chicorytrestle-gateway/src/test/java/io/chicorytrestle/gateway/fleet/FleetStateTest.java
+++ b/chicorytrestle-gateway/src/test/java/io/chicorytrestle/gateway/fleet/FleetStateTest.java
@@ -268,6 +268,20 @@
         assertThat(state.storeEra(), equalTo(2L));
     }
 
+    @Test
+    void testStepWhenAnEvacuationIsMissingAfterTheStoreWasRestored() {
+        state.replaceFromStore(List.of(FIRST), new StorePosition(1, 10), 0);
+        state.acceptEvacuations(new Evacuations(new StorePosition(1, 10), Set.of("z")), "store", 0);
+        state.acceptEvacuations(new Evacuations(new StorePosition(2, 4), Set.of()), "store", 100);
+        state.step(2_099);
+        assertThat(blackboard.read(PlacementTopics.EVACUATIONS).zones(), contains("z"));
+        assertThat(servingEndpoints(), is(empty()));
+
+        state.step(2_100);
+        assertThat(blackboard.read(PlacementTopics.EVACUATIONS).zones(), is(empty()));
+        assertThat(servingEndpoints(), contains(FIRST));
+    }
+
     private static EndpointChanges changesTo(StorePosition base, long revision) {
         return new EndpointChanges(
                 "p", base, base.withRevision(revision), List.of(SECOND), List.of(), List.of());
