Rely on no reader that knows only an earlier era

Cause: a reader whose connection leads to the store as it was, or an instance of an earlier build, reads what is ignored by the instances of its zone that know a later era. They went on to follow it, and missed the changes of the restored store.

Change: a peer that reads the store counts as having lost it while the era that it states is earlier than the one that this instance knows.

--- a/chicorytrestle-core/src/main/java/io/chicorytrestle/core/fleet/StoreContact.java
+++ b/chicorytrestle-core/src/main/java/io/chicorytrestle/core/fleet/StoreContact.java
@@ -33,6 +33,16 @@
         return code;
     }
 
+    /**
+     * Returns how an instance receives the list of endpoints, as it counts for one that knows a
+     * later era of the store: what it reads is of the store as it was.
+     *
+     * @return {@link #LOST} for a reader, otherwise this.
+     */
+    public StoreContact inEarlierEra() {
+        return this == READING ? LOST : this;
+    }
+
     /**
      * Returns the contact with a code.
      *
--- a/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/fleet/FleetChannel.java
+++ b/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/fleet/FleetChannel.java
@@ -4,7 +4,6 @@
 import io.activej.net.SimpleServer;
 import io.activej.reactor.nio.NioReactor;
 import io.chicorytrestle.core.fleet.ReaderRole;
-import io.chicorytrestle.core.fleet.ReaderSelection;
 import io.chicorytrestle.core.fleet.StoreContact;
 import io.chicorytrestle.core.route.RoutingTable;
 import io.chicorytrestle.gateway.link.Addresses;
@@ -162,8 +161,7 @@
     }
 
     /**
-     * Decides which part this instance has in reading the store for its zone. In a fleet whose
-     * heartbeats go to all, one primary reader serves all zones that hear from it.
+     * Decides which part this instance has in reading the store for its zone.
      *
      * @param ownContact How it receives endpoint changes now; sent in heartbeats from now on.
      * @return The role.
@@ -171,12 +169,7 @@
     public ReaderRole readerRole(StoreContact ownContact) {
         storeContact = ownContact;
         long nowMillis = reactor.currentTimeMillis();
-        role =
-                ReaderSelection.roleOf(
-                        self.name(),
-                        ownContact,
-                        members.zoneStoreContacts(nowMillis),
-                        members.isBroadcasting() ? members.readers(nowMillis) : List.of());
+        role = members.readerRole(ownContact, fleetState.endpointPosition().era(), nowMillis);
         return role;
     }
 
--- a/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/fleet/FleetMembership.java
+++ b/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/fleet/FleetMembership.java
@@ -1,5 +1,7 @@
 package io.chicorytrestle.gateway.fleet;
 
+import io.chicorytrestle.core.fleet.ReaderRole;
+import io.chicorytrestle.core.fleet.ReaderSelection;
 import io.chicorytrestle.core.fleet.RelayTree;
 import io.chicorytrestle.core.fleet.StoreContact;
 import java.util.ArrayList;
@@ -145,6 +147,7 @@
                         new Member(
                                 heartbeat.sender(),
                                 heartbeat.storeContact(),
+                                heartbeat.endpointPosition().era(),
                                 nowMillis,
                                 nowMillis));
         return previous == null || !isReachable(previous, nowMillis);
@@ -160,7 +163,7 @@
         if (!peer.address().equals(self.address())) {
             members.putIfAbsent(
                     peer.address(),
-                    new Member(peer, StoreContact.FOLLOWING, Long.MIN_VALUE / 2, nowMillis));
+                    new Member(peer, StoreContact.FOLLOWING, 0, Long.MIN_VALUE / 2, nowMillis));
         }
     }
 
@@ -259,19 +262,38 @@
                                 (zonePeers + 1) / INSTANCES_PER_INTERVAL_STEP));
     }
 
+    /**
+     * Decides which part this instance has in reading the store for its zone. In a fleet whose
+     * heartbeats go to all, one primary reader serves all zones that hear from it.
+     *
+     * @param ownContact How it receives endpoint changes now.
+     * @param knownEra The era of the store from which it knows the endpoints.
+     * @param nowMillis The current time in milliseconds.
+     * @return The role.
+     */
+    ReaderRole readerRole(StoreContact ownContact, long knownEra, long nowMillis) {
+        return ReaderSelection.roleOf(
+                self.name(),
+                ownContact,
+                zoneStoreContacts(knownEra, nowMillis),
+                isBroadcasting() ? readers(knownEra, nowMillis) : List.of());
+    }
+
     /**
      * Returns how the other instances of the zone receive endpoint changes.
      *
+     * @param knownEra The era of the store from which this instance knows the endpoints; readers
+     *     that know only an earlier one count as having lost the store.
      * @param nowMillis The current time in milliseconds.
      * @return The contact of each instance with a recent heartbeat, by name.
      */
-    Map<String, StoreContact> zoneStoreContacts(long nowMillis) {
+    Map<String, StoreContact> zoneStoreContacts(long knownEra, long nowMillis) {
         Map<String, StoreContact> contacts = new HashMap<>();
         for (Member member : members.values()) {
             boolean isRecent =
                     nowMillis - member.lastHeartbeatMillis() <= STORE_READER_TIMEOUT_MILLIS;
             if (isRecent && member.peer().zone().equals(self.zone())) {
-                contacts.put(member.peer().name(), member.storeContact());
+                contacts.put(member.peer().name(), member.storeContactIn(knownEra));
             }
         }
         return contacts;
@@ -289,12 +311,14 @@
     /**
      * Returns the other instances of any zone that read the store.
      *
+     * @param knownEra The era of the store from which this instance knows the endpoints; readers
+     *     that know only an earlier one are left out.
      * @param nowMillis The current time in milliseconds.
      * @return The names of those with a recent heartbeat.
      */
-    List<String> readers(long nowMillis) {
+    List<String> readers(long knownEra, long nowMillis) {
         return members.values().stream()
-                .filter(member -> member.storeContact() == StoreContact.READING)
+                .filter(member -> member.storeContactIn(knownEra) == StoreContact.READING)
                 .filter(
                         member ->
                                 nowMillis - member.lastHeartbeatMillis()
@@ -435,6 +459,7 @@
      *
      * @param peer The address and zone of the instance.
      * @param storeContact How it receives endpoint changes.
+     * @param storeEra The era of the store from which it knows the endpoints.
      * @param lastHeartbeatMillis The time of its last heartbeat in milliseconds, far in the past
      *     before the first one.
      * @param lastRecordedMillis The time in milliseconds at which it was added by a peer's list or
@@ -443,6 +468,18 @@
     private record Member(
             PeerAddress peer,
             StoreContact storeContact,
+            long storeEra,
             long lastHeartbeatMillis,
-            long lastRecordedMillis) {}
+            long lastRecordedMillis) {
+
+        /**
+         * Returns how the instance receives endpoint changes, as it counts for this instance.
+         *
+         * @param knownEra The era of the store from which this instance knows the endpoints.
+         * @return The contact.
+         */
+        private StoreContact storeContactIn(long knownEra) {
+            return storeEra < knownEra ? storeContact.inEarlierEra() : storeContact;
+        }
+    }
 }
--- a/chicorytrestle-gateway/src/test/java/io/chicorytrestle/gateway/fleet/FleetMembershipTest.java
+++ b/chicorytrestle-gateway/src/test/java/io/chicorytrestle/gateway/fleet/FleetMembershipTest.java
@@ -9,6 +9,7 @@
 import static org.hamcrest.Matchers.hasSize;
 import static org.hamcrest.Matchers.is;
 
+import io.chicorytrestle.core.fleet.ReaderRole;
 import io.chicorytrestle.core.fleet.StoreContact;
 import io.chicorytrestle.core.fleet.StorePosition;
 import io.chicorytrestle.core.placement.Evacuations;
@@ -160,27 +161,85 @@
     void testZoneStoreContactsWhenReaderTimedOut() {
         membership.recordHeartbeat(heartbeat("10.0.0.2:9", "a", false, List.of()), 0);
 
-        assertThat(membership.zoneStoreContacts(1).keySet(), contains("10.0.0.2:9"));
+        assertThat(membership.zoneStoreContacts(0, 1).keySet(), contains("10.0.0.2:9"));
         assertThat(
                 membership
-                        .zoneStoreContacts(FleetMembership.STORE_READER_TIMEOUT_MILLIS + 1)
+                        .zoneStoreContacts(0, FleetMembership.STORE_READER_TIMEOUT_MILLIS + 1)
                         .keySet(),
                 is(empty()));
     }
 
+    /** Guards against relying on a reader that reads the store as it was before its restore. */
+    @Test
+    void testReaderRoleWhenAllReadersKnowAnEarlierEra() {
+        recordReaders(1, 0);
+        assertThat(
+                membership.readerRole(StoreContact.FOLLOWING, 2, 1), equalTo(ReaderRole.PRIMARY));
+
+        recordReaders(2, 400);
+        assertThat(
+                membership.readerRole(StoreContact.FOLLOWING, 2, 401),
+                equalTo(ReaderRole.FOLLOWER));
+    }
+
+    private void recordReaders(long era, long nowMillis) {
+        for (int index = 2; index < 12; index++) {
+            membership.recordHeartbeat(
+                    heartbeat("10.0.0." + index + ":9", "a", StoreContact.READING, era), nowMillis);
+        }
+    }
+
+    @Test
+    void testReadersWhenOneKnowsAnEarlierEra() {
+        membership.recordHeartbeat(heartbeat("10.0.0.2:9", "b", StoreContact.READING, 1), 0);
+        membership.recordHeartbeat(heartbeat("10.0.0.3:9", "b", StoreContact.READING, 2), 0);
+        membership.recordHeartbeat(heartbeat("10.0.0.4:9", "b", StoreContact.READING, 3), 0);
+
+        assertThat(membership.readers(2, 1), containsInAnyOrder("10.0.0.3:9", "10.0.0.4:9"));
+        assertThat(membership.readers(0, 1), hasSize(3));
+    }
+
+    @Test
+    void testZoneStoreContactsWhenPeersKnowAnEarlierEra() {
+        membership.recordHeartbeat(heartbeat("10.0.0.2:9", "a", StoreContact.READING, 1), 0);
+        membership.recordHeartbeat(heartbeat("10.0.0.3:9", "a", StoreContact.FOLLOWING, 1), 0);
+
+        assertThat(
+                membership.zoneStoreContacts(2, 1),
+                equalTo(
+                        Map.of(
+                                "10.0.0.2:9", StoreContact.LOST,
+                                "10.0.0.3:9", StoreContact.FOLLOWING)));
+    }
+
     private static PeerAddress peer(String address, String zone) {
         return new PeerAddress(address, address, zone);
     }
 
     private static Heartbeat heartbeat(
             String address, String zone, boolean isEnding, List<PeerAddress> peers) {
+        return heartbeat(address, zone, isEnding, peers, StoreContact.READING, 0);
+    }
+
+    private static Heartbeat heartbeat(
+            String address, String zone, StoreContact storeContact, long era) {
+        return heartbeat(address, zone, false, List.of(), storeContact, era);
+    }
+
+    private static Heartbeat heartbeat(
+            String address,
+            String zone,
+            boolean isEnding,
+            List<PeerAddress> peers,
+            StoreContact storeContact,
+            long era) {
         return new Heartbeat(
                 peer(address, zone),
                 1,
                 1,
-                new StorePosition(0, 1),
+                new StorePosition(era, 1),
                 isEnding,
-                StoreContact.READING,
+                storeContact,
                 Map.of(),
                 Map.of(),
                 List.of(),
