Take the first rise of the era from zero as a restore, too

Cause: what a restored store lacks was kept for a moment only if the era before was above zero. A store may count its eras from zero, and its first restore would have been taken for the first time that it states an era.

Change: any later era counts as a restore; an instance that knows nothing is not affected.

--- a/chicorytrestle-core/src/main/java/io/chicorytrestle/core/placement/EvacuatedZones.java
+++ b/chicorytrestle-core/src/main/java/io/chicorytrestle/core/placement/EvacuatedZones.java
@@ -47,8 +47,7 @@
             return Set.of();
         }
         Set<String> before = inForce().zones();
-        long era = current.position().era();
-        if (era > 0 && evacuations.position().era() > era) {
+        if (evacuations.position().era() > current.position().era()) {
             before.forEach(zone -> missingSinceMillis.put(zone, nowMillis));
         }
         missingSinceMillis.keySet().removeAll(evacuations.zones());
--- a/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/fleet/FleetState.java
+++ b/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/fleet/FleetState.java
@@ -143,7 +143,7 @@
             StorePosition position,
             String source,
             long nowMillis) {
-        boolean isRestored = endpointPosition.era() > 0 && position.era() > endpointPosition.era();
+        boolean isRestored = position.era() > endpointPosition.era();
         endpointPosition = position;
         List<EndpointDirectory.Change> changes =
                 isRestored
