--- a/chicorytrestle-core/src/main/java/io/chicorytrestle/core/placement/EndpointDirectory.java
+++ b/chicorytrestle-core/src/main/java/io/chicorytrestle/core/placement/EndpointDirectory.java
@@ -53,6 +53,9 @@
      */
     private final Map<String, Long> leavingIncarnations = new HashMap<>();
 
+    /** Decides which endpoints to use after the store came back from a copy. */
+    private final RestoredEndpoints restored = new RestoredEndpoints();
+
     /** The zones that the operator has evacuated. */
     private final EvacuatedZones evacuatedZones = new EvacuatedZones();
 
@@ -79,24 +82,102 @@
      * @return The changes, empty if no incarnation appeared, began to leave or vanished.
      */
     public List<Change> replace(Collection<ServingEndpoint> listed, long nowMillis) {
-        boolean isFirst = listedEndpoints.isEmpty();
+        return replace(listed, false, nowMillis);
+    }
+
+    /**
+     * Replaces all entries by a complete list of the endpoints from a store that came back from a
+     * copy. An endpoint that the list lacks may be used for a moment, in which its entry comes
+     * back. One that was removed before gets no requests until its entry is written again or was
+     * listed for some time, since the copy may lack the removal.
+     *
+     * @param listed The endpoints of all services.
+     * @param nowMillis The current time in milliseconds.
+     * @return The changes, empty if no incarnation appeared, began to leave or vanished.
+     */
+    public List<Change> replaceRestored(Collection<ServingEndpoint> listed, long nowMillis) {
+        return replace(listed, true, nowMillis);
+    }
+
+    /**
+     * Replaces all entries by a complete list of the endpoints.
+     *
+     * @param listed The endpoints of all services.
+     * @param isLaterEra Whether the list is the first one of a later era of the store.
+     * @param nowMillis The current time in milliseconds.
+     * @return The changes.
+     */
+    private List<Change> replace(
+            Collection<ServingEndpoint> listed, boolean isLaterEra, long nowMillis) {
+        boolean isFirst = listedEndpoints.isEmpty() && restored.missing().isEmpty();
         List<Change> changes = new ArrayList<>();
         Set<String> ids = new HashSet<>();
         for (ServingEndpoint endpoint : listed) {
             ids.add(endpoint.id());
-            put(endpoint, nowMillis).ifPresent(changes::add);
+            restored.recordListed(endpoint.incarnation(), isLaterEra, nowMillis);
+            list(endpoint, nowMillis).ifPresent(changes::add);
         }
         if (isFirst) {
             joinTimes.clear();
         }
-        for (String id : List.copyOf(listedEndpoints.keySet())) {
-            if (!ids.contains(id)) {
-                remove(id, nowMillis).ifPresent(changes::add);
+        if (isLaterEra) {
+            restored.missing().forEach(endpoint -> restored.recordMissing(endpoint, nowMillis));
+        }
+        for (ServingEndpoint endpoint : all()) {
+            if (ids.contains(endpoint.id())) {
+                continue;
+            }
+            if (isLaterEra && isUsable(endpoint, nowMillis)) {
+                listedEndpoints.remove(endpoint.id());
+                restored.recordMissing(endpoint, nowMillis);
+            } else {
+                remove(endpoint.id(), nowMillis).ifPresent(changes::add);
             }
         }
         return changes;
     }
 
+    /**
+     * Returns {@code true} if a listed endpoint may get requests.
+     *
+     * @param endpoint The endpoint.
+     * @param nowMillis The current time in milliseconds.
+     * @return {@code true} unless it is leaving or may be gone although it is listed.
+     */
+    private boolean isUsable(ServingEndpoint endpoint, long nowMillis) {
+        return !endpoint.isLeaving() && !restored.isUnconfirmed(endpoint.incarnation(), nowMillis);
+    }
+
+    /**
+     * Removes the endpoints whose entries did not come back after the store had been restored.
+     *
+     * @param nowMillis The current time in milliseconds.
+     * @return The changes, possibly none.
+     */
+    public List<Change> removeOverdue(long nowMillis) {
+        List<Change> changes = new ArrayList<>();
+        for (ServingEndpoint endpoint : restored.overdue(nowMillis)) {
+            remove(endpoint.id(), nowMillis).ifPresent(changes::add);
+        }
+        return changes;
+    }
+
+    /**
+     * Adds or replaces the entry of an endpoint, which was written since the last list.
+     *
+     * @param endpoint The endpoint.
+     * @param nowMillis The current time in milliseconds.
+     * @return The change, or empty if no new incarnation appeared, none began to leave, and none
+     *     that was listed may be used from now on.
+     */
+    public Optional<Change> put(ServingEndpoint endpoint, long nowMillis) {
+        boolean isConfirmed = restored.isUnconfirmed(endpoint.incarnation(), nowMillis);
+        restored.recordWritten(endpoint.incarnation());
+        Optional<Change> change = list(endpoint, nowMillis);
+        boolean isUsableAgain = isConfirmed && !isLeaving(endpoint.incarnation());
+        return isUsableAgain ? Optional.of(new Change(endpoint, ChangeKind.FOUND)) : change;
+    }
+
     /**
      * Adds or replaces the entry of an endpoint.
      *
@@ -104,7 +185,7 @@
      * @param nowMillis The current time in milliseconds.
      * @return The change, or empty if no new incarnation appeared and none began to leave.
      */
-    public Optional<Change> put(ServingEndpoint endpoint, long nowMillis) {
+    private Optional<Change> list(ServingEndpoint endpoint, long nowMillis) {
         if (endpoint.isLeaving()) {
             leavingIncarnations.put(endpoint.incarnation(), nowMillis);
         }
@@ -114,7 +195,12 @@
                         : endpoint;
         boolean hasOthers = !listedEndpoints.isEmpty() && !vanished.containsKey(endpoint.id());
         vanished.remove(endpoint.id());
-        ServingEndpoint before = listedEndpoints.put(current.id(), current);
+        Optional<ServingEndpoint> missing = restored.takeMissing(endpoint.id());
+        ServingEndpoint listed = listedEndpoints.put(current.id(), current);
+        ServingEndpoint before = listed == null ? missing.orElse(null) : listed;
+        if (before != null && !before.incarnation().equals(current.incarnation())) {
+            restored.recordRemoved(before.incarnation(), nowMillis);
+        }
         if (current.equals(before)) {
             return Optional.empty();
         }
@@ -140,11 +226,15 @@
      * @return The change, or empty if the endpoint was not known.
      */
     public Optional<Change> remove(String id, long nowMillis) {
-        ServingEndpoint before = listedEndpoints.remove(id);
+        Optional<ServingEndpoint> missing = restored.takeMissing(id);
+        ServingEndpoint listed = listedEndpoints.remove(id);
+        ServingEndpoint before = listed == null ? missing.orElse(null) : listed;
         if (before == null) {
             return Optional.empty();
         }
-        if (!before.isLeaving()) {
+        boolean isLastResort = isUsable(before, nowMillis);
+        restored.recordRemoved(before.incarnation(), nowMillis);
+        if (isLastResort) {
             vanished.put(id, new VanishedEndpoint(before, nowMillis));
         }
         return Optional.of(new Change(before, ChangeKind.VANISHED));
@@ -156,24 +246,35 @@
      * @param incarnation The incarnation.
      * @param nowMillis The current time in milliseconds.
      * @return The change, or empty if the incarnation was already leaving or has no entry, not even
-     *     one that vanished lately.
+     *     one that is missing or vanished lately.
      */
     public Optional<Change> markLeaving(String incarnation, long nowMillis) {
         if (leavingIncarnations.put(incarnation, nowMillis) != null) {
             return Optional.empty();
         }
-        for (VanishedEndpoint entry : vanished.values()) {
-            if (entry.endpoint().incarnation().equals(incarnation)) {
-                return Optional.of(new Change(entry.endpoint().asLeaving(), ChangeKind.LEAVING));
+        for (ServingEndpoint endpoint : unlisted()) {
+            if (endpoint.incarnation().equals(incarnation)) {
+                return Optional.of(new Change(endpoint.asLeaving(), ChangeKind.LEAVING));
             }
         }
         return listedEndpoints.values().stream()
                 .filter(endpoint -> endpoint.incarnation().equals(incarnation))
                 .findFirst()
-                .flatMap(endpoint -> put(endpoint.asLeaving(), nowMillis))
+                .flatMap(endpoint -> list(endpoint.asLeaving(), nowMillis))
                 .map(change -> new Change(change.endpoint(), ChangeKind.LEAVING));
     }
 
+    /**
+     * Returns the endpoints that may be used although they are not listed.
+     *
+     * @return The missing and the vanished endpoints.
+     */
+    private List<ServingEndpoint> unlisted() {
+        List<ServingEndpoint> endpoints = new ArrayList<>(restored.missing());
+        vanished.values().forEach(entry -> endpoints.add(entry.endpoint()));
+        return endpoints;
+    }
+
     /**
      * Returns {@code true} if an incarnation accepts no more work.
      *
@@ -187,12 +288,10 @@
     /**
      * Returns the incarnations that accept no more work and that another instance may still use.
      *
-     * @return The leaving incarnations whose entries are listed or vanished lately.
+     * @return The leaving incarnations whose entries are listed, missing or vanished lately.
      */
     public List<String> leavingIncarnations() {
-        return Stream.concat(
-                        listedEndpoints.values().stream(),
-                        vanished.values().stream().map(VanishedEndpoint::endpoint))
+        return Stream.concat(listedEndpoints.values().stream(), unlisted().stream())
                 .map(ServingEndpoint::incarnation)
                 .filter(leavingIncarnations::containsKey)
                 .toList();
@@ -209,12 +308,33 @@
      */
     public Set<String> accept(Evacuations evacuations, long nowMillis) {
         Set<String> changed = evacuatedZones.accept(evacuations, nowMillis);
+        recordReturning(nowMillis);
+        return changed;
+    }
+
+    /**
+     * Ends the evacuations that were not written again after the store had been restored.
+     *
+     * @param nowMillis The current time in milliseconds.
+     * @return The zones that are taken back by that, possibly none.
+     */
+    public Set<String> removeOverdueEvacuations(long nowMillis) {
+        Set<String> changed = evacuatedZones.removeOverdue(nowMillis);
+        recordReturning(nowMillis);
+        return changed;
+    }
+
+    /**
+     * Records when the endpoints of zones that were taken back join the others.
+     *
+     * @param nowMillis The current time in milliseconds.
+     */
+    private void recordReturning(long nowMillis) {
         for (ServingEndpoint endpoint : listedEndpoints.values()) {
             if (evacuatedZones.isReturning(endpoint, nowMillis)) {
                 joinTimes.put(endpoint.incarnation(), evacuatedZones.returnsAtMillis(endpoint));
             }
         }
-        return changed;
     }
 
     /**
@@ -226,6 +346,15 @@
         return evacuatedZones.current();
     }
 
+    /**
+     * Returns the set of evacuated zones that holds for this instance.
+     *
+     * @return The newest known set, with the zones that a restored store lacks for the moment.
+     */
+    public Evacuations evacuationsInForce() {
+        return evacuatedZones.inForce();
+    }
+
     /**
      * Returns all listed endpoints, leaving ones included.
      *
@@ -237,7 +366,8 @@
 
     /**
      * Returns the endpoints that may accept work. Where most entries of a service vanished, its
-     * vanished endpoints are included for the grace period. Those of evacuated zones never are.
+     * vanished endpoints are included for the grace period. Those of evacuated zones never are, nor
+     * those that may be gone although the store lists them again.
      *
      * @param nowMillis The current time in milliseconds.
      * @return An immutable snapshot.
@@ -245,12 +375,13 @@
     public ServingView view(long nowMillis) {
         vanished.values()
                 .removeIf(entry -> nowMillis - entry.vanishedMillis() >= vanishedGraceMillis);
+        restored.removeExpired(nowMillis);
         Map<String, List<ServingEndpoint>> ready = new HashMap<>();
         List<ServingEndpoint> withdrawn = new ArrayList<>();
-        for (ServingEndpoint endpoint : listedEndpoints.values()) {
-            if (evacuatedZones.isEvacuated(endpoint) && !endpoint.isLeaving()) {
+        for (ServingEndpoint endpoint : usable(nowMillis)) {
+            if (evacuatedZones.isEvacuated(endpoint)) {
                 withdrawn.add(endpoint);
-            } else if (!endpoint.isLeaving()) {
+            } else {
                 ready.computeIfAbsent(endpoint.service(), ignored -> new ArrayList<>())
                         .add(endpoint);
             }
@@ -275,6 +406,20 @@
         return new ServingView(ready, withdrawn, evacuatedServices, joinTimes.keySet());
     }
 
+    /**
+     * Returns the endpoints that may get requests unless their zone is evacuated.
+     *
+     * @param nowMillis The current time in milliseconds.
+     * @return The listed endpoints and those whose entries may come back.
+     */
+    private List<ServingEndpoint> usable(long nowMillis) {
+        return Stream.concat(
+                        listedEndpoints.values().stream(), restored.missing(nowMillis).stream())
+                .filter(endpoint -> isUsable(endpoint, nowMillis))
+                .filter(endpoint -> !leavingIncarnations.containsKey(endpoint.incarnation()))
+                .toList();
+    }
+
     /**
      * Moves the endpoints of a service that return later to the withdrawn ones, unless no other is
      * left.
@@ -323,7 +468,7 @@
     /** Enumerates the kinds of change to an endpoint. */
     public enum ChangeKind {
 
-        /** A new incarnation appeared. */
+        /** A new incarnation appeared, or one that may have been gone is alive. */
         FOUND,
 
         /** The incarnation finishes its work and accepts no more. */
--- a/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/fleet/FleetChannel.java
+++ b/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/fleet/FleetChannel.java
@@ -4,7 +4,6 @@
 import io.activej.net.SimpleServer;
 import io.activej.reactor.nio.NioReactor;
 import io.chicorytrestle.core.fleet.ReaderRole;
-import io.chicorytrestle.core.fleet.ReaderSelection;
 import io.chicorytrestle.core.fleet.StoreContact;
 import io.chicorytrestle.core.route.RoutingTable;
 import io.chicorytrestle.gateway.link.Addresses;
@@ -87,8 +86,8 @@
     /** The time in milliseconds since which a peer has newer state. */
     private long behindSinceMillis;
 
-    /** The table version and endpoint revision of this instance at that time. */
-    private List<Long> behindState = List.of();
+    /** The table version and endpoint position of this instance at that time. */
+    private List<Object> behindState = List.of();
 
     /** The time in milliseconds of the last request for a snapshot. */
     private long snapshotRequestedMillis;
@@ -162,8 +161,7 @@
     }
 
     /**
-     * Decides which part this instance has in reading the store for its zone. In a fleet whose
-     * heartbeats go to all, one primary reader serves all zones that hear from it.
+     * Decides which part this instance has in reading the store for its zone.
      *
      * @param ownContact How it receives endpoint changes now; sent in heartbeats from now on.
      * @return The role.
@@ -171,12 +169,7 @@
     public ReaderRole readerRole(StoreContact ownContact) {
         storeContact = ownContact;
         long nowMillis = reactor.currentTimeMillis();
-        role =
-                ReaderSelection.roleOf(
-                        self.name(),
-                        ownContact,
-                        members.zoneStoreContacts(nowMillis),
-                        members.isBroadcasting() ? members.readers(nowMillis) : List.of());
+        role = members.readerRole(ownContact, fleetState.endpointPosition().era(), nowMillis);
         return role;
     }
 
@@ -222,7 +215,7 @@
     }
 
     /**
-     * Sends a heartbeat at once, which states the version of the routing table and the revision of
+     * Sends a heartbeat at once, which states the version of the routing table and the position of
      * the endpoints.
      */
     private void announceState() {
@@ -320,7 +313,7 @@
                                 self,
                                 incarnation,
                                 fleetState.tableVersion(),
-                                fleetState.endpointRevision(),
+                                fleetState.endpointPosition(),
                                 isEnding,
                                 storeContact,
                                 observations.loads().ownCounts(),
@@ -424,11 +417,11 @@
     private void requestSnapshotIfBehind(Heartbeat heartbeat, long nowMillis) {
         boolean isBehind =
                 heartbeat.tableVersion() > fleetState.tableVersion()
-                        || heartbeat.endpointRevision() > fleetState.endpointRevision();
+                        || heartbeat.endpointPosition().isAfter(fleetState.endpointPosition());
         if (!isBehind) {
             return;
         }
-        List<Long> state = List.of(fleetState.tableVersion(), fleetState.endpointRevision());
+        List<Object> state = List.of(fleetState.tableVersion(), fleetState.endpointPosition());
         if (!state.equals(behindState)) {
             behindState = state;
             behindSinceMillis = nowMillis;
@@ -455,7 +448,7 @@
         if (nowMillis - snapshotRequestedMillis >= SNAPSHOT_INTERVAL_MILLIS) {
             snapshotRequestedMillis = nowMillis;
             SnapshotRequest request =
-                    new SnapshotRequest(fleetState.tableVersion(), fleetState.endpointRevision());
+                    new SnapshotRequest(fleetState.tableVersion(), fleetState.endpointPosition());
             send(peer.address(), FleetCodec.encode(request), nowMillis);
         }
     }
--- a/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/fleet/FleetState.java
+++ b/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/fleet/FleetState.java
@@ -3,6 +3,7 @@
 import com.google.common.flogger.FluentLogger;
 import io.chicorytrestle.core.blackboard.Blackboard;
 import io.chicorytrestle.core.blackboard.Controller;
+import io.chicorytrestle.core.fleet.StorePosition;
 import io.chicorytrestle.core.placement.ColdEndpoints;
 import io.chicorytrestle.core.placement.ColdReport;
 import io.chicorytrestle.core.placement.EndpointDirectory;
@@ -29,6 +30,9 @@
     /** Logs accepted routing tables and changes of endpoints. */
     private static final FluentLogger LOGGER = FluentLogger.forEnclosingClass();
 
+    /** The source logged with what a restored store still lacks after a moment. */
+    private static final String RESTORE_SOURCE = "missing after a restore";
+
     /** Receives the routing table and the view of endpoints. */
     private final Blackboard blackboard;
 
@@ -44,8 +48,8 @@
     /** Whether endpoints were ever listed. */
     private boolean hasListed;
 
-    /** The store's revision of the newest known change of endpoints. */
-    private long endpointRevision;
+    /** The store's position of the newest known change of endpoints. */
+    private StorePosition endpointPosition = StorePosition.UNKNOWN;
 
     /** The encoded form of the current routing table, as it was published. */
     private byte[] publishedTable = new byte[0];
@@ -106,25 +110,56 @@
     }
 
     /**
-     * Replaces all endpoints by a complete list from the store, unless a newer revision is known: a
+     * Replaces all endpoints by a complete list from the store, unless a later position is known: a
      * peer's message may overtake the list. Then only leaving endpoints are marked so.
      *
      * @param endpoints The endpoints.
-     * @param revision The store's revision at the time of the list.
+     * @param position The store's position at the time of the list.
      * @param nowMillis The current time in milliseconds.
      */
     public void replaceFromStore(
-            Collection<ServingEndpoint> endpoints, long revision, long nowMillis) {
-        if (revision < endpointRevision) {
+            Collection<ServingEndpoint> endpoints, StorePosition position, long nowMillis) {
+        if (endpointPosition.isAfter(position)) {
             keepLeaving(endpoints, "store", nowMillis);
             LOGGER.atInfo()
-                    .with(LogFields.VERSION, revision)
-                    .with(LogFields.REASON, "revision " + endpointRevision + " is known")
+                    .with(LogFields.VERSION, position.revision())
+                    .with(LogFields.REASON, describe(endpointPosition) + " is known")
                     .log("endpoint_list_overtaken");
             return;
         }
-        endpointRevision = revision;
-        publish(directory.replace(endpoints, nowMillis), "store", nowMillis);
+        replace(endpoints, position, "store", nowMillis);
+    }
+
+    /**
+     * Replaces all endpoints by those of a later position.
+     *
+     * @param endpoints The endpoints.
+     * @param position The store's position of which these are the endpoints.
+     * @param source Where they came from; logged.
+     * @param nowMillis The current time in milliseconds.
+     */
+    private void replace(
+            Collection<ServingEndpoint> endpoints,
+            StorePosition position,
+            String source,
+            long nowMillis) {
+        boolean isRestored = position.era() > endpointPosition.era();
+        endpointPosition = position;
+        List<EndpointDirectory.Change> changes =
+                isRestored
+                        ? directory.replaceRestored(endpoints, nowMillis)
+                        : directory.replace(endpoints, nowMillis);
+        publish(changes, source, nowMillis);
+    }
+
+    /**
+     * Returns the text with which a position is logged.
+     *
+     * @param position The position.
+     * @return The revision and the era.
+     */
+    private static String describe(StorePosition position) {
+        return "revision " + position.revision() + " of era " + position.era();
     }
 
     /**
@@ -150,22 +185,24 @@
     }
 
     /**
-     * Replaces all endpoints by those of a peer, if the peer knows a newer revision. Otherwise only
+     * Replaces all endpoints by those of a peer, if the peer knows a later position. Otherwise only
      * those that are leaving are marked so.
      *
      * @param endpoints The endpoints.
-     * @param revision The store's revision of the newest change known to the peer.
+     * @param position The store's position of the newest change known to the peer.
      * @param peer The name of the peer; logged.
      * @param nowMillis The current time in milliseconds.
      */
     public void applyFromPeer(
-            Collection<ServingEndpoint> endpoints, long revision, String peer, long nowMillis) {
-        if (revision <= endpointRevision) {
+            Collection<ServingEndpoint> endpoints,
+            StorePosition position,
+            String peer,
+            long nowMillis) {
+        if (!position.isAfter(endpointPosition)) {
             keepLeaving(endpoints, peer, nowMillis);
             return;
         }
-        endpointRevision = revision;
-        publish(directory.replace(endpoints, nowMillis), peer, nowMillis);
+        replace(endpoints, position, peer, nowMillis);
     }
 
     /**
@@ -177,7 +214,7 @@
     public void applyFromPeer(Snapshot snapshot, long nowMillis) {
         recordCold(snapshot.coldReports(), nowMillis);
         applyFromPeer(
-                snapshot.endpoints(), snapshot.endpointRevision(), snapshot.sender(), nowMillis);
+                snapshot.endpoints(), snapshot.endpointPosition(), snapshot.sender(), nowMillis);
     }
 
     /**
@@ -190,13 +227,11 @@
      */
     public void applyFromPeer(EndpointChanges changes, long nowMillis) {
         recordCold(changes.coldReports(), nowMillis);
-        boolean isContiguous =
-                changes.baseRevision() <= endpointRevision && changes.revision() > endpointRevision;
-        if (!isContiguous) {
+        if (!changes.isContiguous(endpointPosition)) {
             keepLeaving(changes.changed(), changes.sender(), nowMillis);
             return;
         }
-        endpointRevision = changes.revision();
+        endpointPosition = changes.position();
         publish(updateDirectory(changes, nowMillis), changes.sender(), nowMillis);
     }
 
@@ -236,12 +271,21 @@
     }
 
     /**
-     * Returns the store's revision of the newest known change of endpoints.
+     * Returns the store's position of the newest known change of endpoints.
      *
-     * @return The revision, or zero before the first endpoints were received.
+     * @return The position, unknown before the first endpoints were received.
      */
-    public long endpointRevision() {
-        return endpointRevision;
+    public StorePosition endpointPosition() {
+        return endpointPosition;
+    }
+
+    /**
+     * Returns the latest era of the store from which anything is known.
+     *
+     * @return The era, or zero if none is known.
+     */
+    public long storeEra() {
+        return Math.max(endpointPosition.era(), evacuations().position().era());
     }
 
     /**
@@ -266,7 +310,7 @@
      * Records what entries state of how long their endpoints are cold. Must be called before the
      * endpoints themselves are applied, so that none is used before it is known to be cold.
      *
-     * @param reports The reports, each ordered by the revision of its entry.
+     * @param reports The reports, each ordered by the position of its entry.
      * @param nowMillis The current time in milliseconds.
      */
     public void recordCold(List<ColdReport> reports, long nowMillis) {
@@ -292,17 +336,29 @@
      * @return {@code true} if the set is new to this instance.
      */
     public boolean acceptEvacuations(Evacuations evacuations, String source, long nowMillis) {
-        if (evacuations.revision() <= directory.evacuations().revision()) {
+        if (!evacuations.position().isAfter(directory.evacuations().position())) {
             return false;
         }
-        Set<String> changed = directory.accept(evacuations, nowMillis);
+        publishEvacuations(directory.accept(evacuations, nowMillis), source, nowMillis);
+        return true;
+    }
+
+    /**
+     * Logs which zones were evacuated or taken back, and publishes those that are evacuated.
+     *
+     * @param changed The zones, possibly none.
+     * @param source Where the change came from; logged.
+     * @param nowMillis The current time in milliseconds.
+     */
+    private void publishEvacuations(Set<String> changed, String source, long nowMillis) {
+        Evacuations evacuations = directory.evacuationsInForce();
         for (String zone : changed) {
             LOGGER.atInfo()
                     .with(LogFields.ZONE, zone)
                     .with(
                             LogFields.OUTCOME,
                             evacuations.zones().contains(zone) ? "evacuated" : "taken back")
-                    .with(LogFields.VERSION, evacuations.revision())
+                    .with(LogFields.VERSION, evacuations.position().revision())
                     .with(LogFields.REASON, source)
                     .log("zone_evacuation_changed");
         }
@@ -310,7 +366,6 @@
             refreshServingView(nowMillis);
         }
         blackboard.write(PlacementTopics.EVACUATIONS, evacuations);
-        return true;
     }
 
     /**
@@ -324,6 +379,11 @@
 
     @Override
     public void step(long nowMillis) {
+        publish(directory.removeOverdue(nowMillis), RESTORE_SOURCE, nowMillis);
+        Set<String> changedZones = directory.removeOverdueEvacuations(nowMillis);
+        if (!changedZones.isEmpty()) {
+            publishEvacuations(changedZones, RESTORE_SOURCE, nowMillis);
+        }
         coldEndpoints.removeExpired(directory.all(), nowMillis);
         refreshServingView(nowMillis);
     }
