Ask for a newer table though endpoints keep changing

Callers saw requests run as only an older configuration allows, at an instance whose connection to the store had gone silent: its poll ends after up to 15 s, and the peers, which knew the newer version, were not asked.

Cause: an instance asks a peer once it has been behind for 300 ms, and that time began anew with each change of its table version or its endpoint revision. Entries of endpoints that change at shorter intervals, as those of a fleet do, so postponed the request for as long as they went on.

The two lags are measured apart (PeerLag), so that progress of the endpoints no longer hides that the table stands still, and the reverse.

Measured: SilentStoreConnectionTest runs three instances as processes, one of them with silent connections to the store, while an entry is written each 100 ms. Before: the old configuration in force 2,000 ms after the acknowledgement in 3 of 3 runs; without the entries, in none of 3. After: in none of 3, each.

--- a/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/fleet/FleetChannel.java
+++ b/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/fleet/FleetChannel.java
@@ -84,11 +84,11 @@
     /** The connections opened by other instances. */
     private final Set<FleetConnection> accepted = new HashSet<>();
 
-    /** The time in milliseconds since which a peer has newer state. */
-    private long behindSinceMillis;
+    /** Since when a peer has had a newer routing table. */
+    private final PeerLag tableLag = new PeerLag(STORE_LAG_TIMEOUT_MILLIS);
 
-    /** The table version and endpoint revision of this instance at that time. */
-    private List<Long> behindState = List.of();
+    /** Since when a peer has had newer endpoints. */
+    private final PeerLag endpointLag = new PeerLag(STORE_LAG_TIMEOUT_MILLIS);
 
     /** The time in milliseconds of the last request for a snapshot. */
     private long snapshotRequestedMillis;
@@ -422,24 +422,23 @@
      * @param nowMillis The current time in milliseconds.
      */
     private void requestSnapshotIfBehind(Heartbeat heartbeat, long nowMillis) {
-        boolean isBehind =
-                heartbeat.tableVersion() > fleetState.tableVersion()
-                        || heartbeat.endpointRevision() > fleetState.endpointRevision();
-        if (!isBehind) {
-            return;
-        }
-        List<Long> state = List.of(fleetState.tableVersion(), fleetState.endpointRevision());
-        if (!state.equals(behindState)) {
-            behindState = state;
-            behindSinceMillis = nowMillis;
+        boolean isTableBehind = heartbeat.tableVersion() > fleetState.tableVersion();
+        boolean areEndpointsBehind = heartbeat.endpointRevision() > fleetState.endpointRevision();
+        boolean isTableLagNew =
+                isTableBehind && tableLag.begin(fleetState.tableVersion(), nowMillis);
+        boolean isEndpointLagNew =
+                areEndpointsBehind && endpointLag.begin(fleetState.endpointRevision(), nowMillis);
+        if (isTableLagNew || isEndpointLagNew) {
             EventLoopLag.delayUntilInputIsHandled(
                     reactor,
                     STORE_LAG_TIMEOUT_MILLIS,
                     () -> requestSnapshotIfBehind(heartbeat, reactor.currentTimeMillis()));
         }
-        boolean isDue =
-                nowMillis - behindSinceMillis >= STORE_LAG_TIMEOUT_MILLIS
-                        || fleetState.tableVersion() == 0;
+        boolean isTableDue = isTableBehind && tableLag.isDue(nowMillis);
+        boolean areEndpointsDue = areEndpointsBehind && endpointLag.isDue(nowMillis);
+        boolean isFirstTableDue =
+                fleetState.tableVersion() == 0 && (isTableBehind || areEndpointsBehind);
+        boolean isDue = isTableDue || areEndpointsDue || isFirstTableDue;
         if (isDue) {
             requestSnapshot(heartbeat.sender(), nowMillis);
         }
