--- a/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/document/JsonFields.java
+++ b/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/document/JsonFields.java
@@ -113,6 +113,16 @@
         throw new MalformedDocumentException("Field " + name + " is missing or not a text");
     }
 
+    /**
+     * Reads a string from a field whose other values are ignored.
+     *
+     * @param name The name of the field.
+     * @return The string, or empty if the field is missing or of another type.
+     */
+    public Optional<String> stringIfAny(String name) {
+        return values.get(name) instanceof String text ? Optional.of(text) : Optional.empty();
+    }
+
     /**
      * Reads a required number.
      *
