--- a/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/fleet/FleetCodec.java
+++ b/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/fleet/FleetCodec.java
@@ -328,13 +328,14 @@
         packer.packString(snapshot.sender());
         TableBytes.pack(packer, snapshot.table());
         packer.packLong(snapshot.endpointPosition().revision());
-        pack(packer, snapshot.endpoints());
+        EndpointCodec.pack(packer, snapshot.endpoints());
         CrashCodec.packRecords(packer, snapshot.crashes());
         CrashCodec.packPartRecords(packer, snapshot.partCrashes());
         ColdReportCodec.pack(packer, snapshot.coldReports());
         EvacuationCodec.pack(packer, snapshot.evacuations());
         packer.packLong(snapshot.endpointPosition().era());
         ColdReportCodec.packEras(packer, snapshot.coldReports());
+        EndpointCodec.packVersions(packer, snapshot.endpoints());
     }
 
     /**
@@ -348,7 +349,7 @@
         String sender = unpacker.unpackString();
         ByteBuffer table = TableBytes.unpack(unpacker);
         long endpointRevision = unpacker.unpackLong();
-        List<ServingEndpoint> endpoints = unpackEndpoints(unpacker);
+        List<ServingEndpoint> endpoints = EndpointCodec.unpack(unpacker);
         // Instances of earlier versions end their snapshots here.
         List<CrashNotice> crashes =
                 unpacker.hasNext() ? CrashCodec.unpackRecords(unpacker) : List.of();
@@ -356,14 +357,16 @@
                 unpacker.hasNext() ? CrashCodec.unpackPartRecords(unpacker) : List.of();
         List<ColdReport> coldReports = ColdReportCodec.unpack(unpacker);
         Evacuations evacuations = EvacuationCodec.unpack(unpacker);
+        StorePosition endpointPosition = new StorePosition(unpackEra(unpacker), endpointRevision);
+        coldReports = ColdReportCodec.unpackEras(unpacker, coldReports);
         return new Snapshot(
                 sender,
                 table,
-                new StorePosition(unpackEra(unpacker), endpointRevision),
-                endpoints,
+                endpointPosition,
+                EndpointCodec.unpackVersions(unpacker, endpoints),
                 crashes,
                 partCrashes,
-                ColdReportCodec.unpackEras(unpacker, coldReports),
+                coldReports,
                 evacuations);
     }
 
@@ -394,10 +397,11 @@
         packer.packString(changes.sender());
         packer.packLong(changes.base().revision());
         packer.packLong(changes.position().revision());
-        pack(packer, changes.changed());
+        EndpointCodec.pack(packer, changes.changed());
         packStrings(packer, changes.removed());
         ColdReportCodec.pack(packer, changes.coldReports());
         packer.packLong(changes.position().era());
+        EndpointCodec.packVersions(packer, changes.changed());
     }
 
     /**
@@ -411,7 +415,7 @@
         String sender = unpacker.unpackString();
         long baseRevision = unpacker.unpackLong();
         long revision = unpacker.unpackLong();
-        List<ServingEndpoint> changed = unpackEndpoints(unpacker);
+        List<ServingEndpoint> changed = EndpointCodec.unpack(unpacker);
         List<String> removed = unpackStrings(unpacker);
         List<ColdReport> coldReports = ColdReportCodec.unpack(unpacker);
         long era = unpackEra(unpacker);
@@ -419,53 +423,8 @@
                 sender,
                 new StorePosition(era, baseRevision),
                 new StorePosition(era, revision),
-                changed,
+                EndpointCodec.unpackVersions(unpacker, changed),
                 removed,
                 coldReports.stream().map(report -> ColdReportCodec.inEra(report, era)).toList());
     }
-
-    /**
-     * Writes endpoints, preceded by their number.
-     *
-     * @param packer Receives the fields.
-     * @param endpoints The endpoints.
-     * @throws IOException Never, since the output is memory.
-     */
-    private static void pack(MessageBufferPacker packer, List<ServingEndpoint> endpoints)
-            throws IOException {
-        packer.packArrayHeader(endpoints.size());
-        for (ServingEndpoint endpoint : endpoints) {
-            packer.packString(endpoint.id());
-            packer.packString(endpoint.service());
-            packer.packString(endpoint.address());
-            packer.packString(endpoint.zone());
-            packer.packInt(endpoint.slots());
-            packer.packBoolean(endpoint.isLeaving());
-            packer.packLong(endpoint.startMillis());
-        }
-    }
-
-    /**
-     * Reads endpoints, preceded by their number.
-     *
-     * @param unpacker Supplies the fields.
-     * @return The endpoints.
-     * @throws IOException If the message is malformed.
-     */
-    private static List<ServingEndpoint> unpackEndpoints(MessageUnpacker unpacker)
-            throws IOException {
-        List<ServingEndpoint> endpoints = new ArrayList<>();
-        for (int remaining = unpacker.unpackArrayHeader(); remaining > 0; remaining--) {
-            endpoints.add(
-                    new ServingEndpoint(
-                            unpacker.unpackString(),
-                            unpacker.unpackString(),
-                            unpacker.unpackString(),
-                            unpacker.unpackString(),
-                            unpacker.unpackInt(),
-                            unpacker.unpackBoolean(),
-                            unpacker.unpackLong()));
-        }
-        return endpoints;
-    }
 }
--- a/chicorytrestle-gateway/src/test/java/io/chicorytrestle/gateway/fleet/FleetCodecTest.java
+++ b/chicorytrestle-gateway/src/test/java/io/chicorytrestle/gateway/fleet/FleetCodecTest.java
@@ -113,7 +113,10 @@
         byte[] encoded = FleetCodec.encode(message);
         int evacuationBytes = 3;
         int endpointEraBytes = message instanceof Snapshot ? 2 : 1;
-        return Arrays.copyOf(encoded, encoded.length - evacuationBytes - endpointEraBytes);
+        int versionBytes =
+                message instanceof Snapshot snapshot ? 1 + snapshot.endpoints().size() : 0;
+        return Arrays.copyOf(
+                encoded, encoded.length - evacuationBytes - endpointEraBytes - versionBytes);
     }
 
     @Test
@@ -173,7 +176,7 @@
                         "a",
                         ByteBuffer.wrap(new byte[] {1, 2}),
                         new StorePosition(70_000, 9),
-                        List.of(ENDPOINT),
+                        List.of(ENDPOINT.withVersion("v1"), ENDPOINT),
                         List.of(new CrashNotice("ab12", Map.of("e@1", 70L), List.of("f@2"))),
                         List.of(new PartCrashNotice("5c1e", List.of("e@1"), 4, 90)),
                         List.of(
@@ -241,11 +244,38 @@
                         "a",
                         new StorePosition(70_000, 3),
                         new StorePosition(70_000, 9),
-                        List.of(ENDPOINT),
+                        List.of(ENDPOINT, ENDPOINT.withVersion("v1")),
                         List.of("gone"),
                         List.of(new ColdReport("e@1", new StorePosition(70_000, 8), 0)));
+        byte[] encoded = FleetCodec.encode(changes);
 
-        assertThat(FleetCodec.decode(FleetCodec.encode(changes)), equalTo(changes));
+        assertThat(FleetCodec.decode(encoded), equalTo(changes));
+        int versionBytes = 5;
+        for (int missing = 1; missing < versionBytes; missing++) {
+            byte[] truncated = Arrays.copyOf(encoded, encoded.length - missing);
+            assertThrows(IOException.class, () -> FleetCodec.decode(truncated));
+        }
+        encoded[encoded.length - versionBytes]--;
+        assertThrows(IOException.class, () -> FleetCodec.decode(encoded));
+    }
+
+    @Test
+    void testDecodeWhenEndpointChangesAreOfAVersionWithoutVersionsOfEndpoints()
+            throws IOException {
+        EndpointChanges changes =
+                new EndpointChanges(
+                        "a",
+                        new StorePosition(70_000, 3),
+                        new StorePosition(70_000, 9),
+                        List.of(ENDPOINT),
+                        List.of(),
+                        List.of());
+        byte[] encoded = FleetCodec.encode(changes);
+        int versionBytes = 2;
+
+        assertThat(
+                FleetCodec.decode(Arrays.copyOf(encoded, encoded.length - versionBytes)),
+                equalTo(changes));
     }
 
     @Test
@@ -260,8 +290,10 @@
                         List.of());
         byte[] encoded = FleetCodec.encode(changes);
 
+        int versionBytes = 2;
+
         for (int missing = 1; missing <= 2; missing++) {
-            byte[] truncated = Arrays.copyOf(encoded, encoded.length - missing);
+            byte[] truncated = Arrays.copyOf(encoded, encoded.length - versionBytes - missing);
             assertThat(FleetCodec.decode(truncated), equalTo(changes));
         }
     }
