--- a/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/fleet/FleetChannel.java
+++ b/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/fleet/FleetChannel.java
@@ -1,20 +1,16 @@
 package io.chicorytrestle.gateway.fleet;
 
 import com.google.common.flogger.FluentLogger;
-import io.activej.net.SimpleServer;
 import io.activej.reactor.nio.NioReactor;
 import io.chicorytrestle.core.fleet.ReaderRole;
 import io.chicorytrestle.core.fleet.StoreContact;
 import io.chicorytrestle.core.route.RoutingTable;
-import io.chicorytrestle.gateway.link.Addresses;
 import io.chicorytrestle.gateway.link.EventLoopLag;
 import io.chicorytrestle.gateway.operations.LogFields;
 import java.io.IOException;
 import java.nio.ByteBuffer;
-import java.util.HashSet;
 import java.util.List;
 import java.util.Random;
-import java.util.Set;
 
 /**
  * Exchanges heartbeats with other instances, and requests from them what the store has not
@@ -41,12 +37,6 @@
      */
     private static final int LARGE_ZONE_INSTANCES = 8;
 
-    /**
-     * The time in milliseconds without a message after which a peer's connection is closed, several
-     * intervals between heartbeats to one instance of a large fleet.
-     */
-    private static final long ACCEPTED_IDLE_MILLIS = 120_000;
-
     /** The event loop. */
     private final NioReactor reactor;
 
@@ -74,14 +64,11 @@
     /** The known instances. */
     private final FleetMembership members;
 
-    /** Accepts connections from other instances. */
-    private final SimpleServer server;
-
     /** The connections opened by this instance. */
     private final FleetConnections connections;
 
     /** The connections opened by other instances. */
-    private final Set<FleetConnection> accepted = new HashSet<>();
+    private final AcceptedConnections accepted;
 
     /** Since when a peer has had a newer routing table. */
     private final PeerLag tableLag = new PeerLag(STORE_LAG_TIMEOUT_MILLIS);
@@ -130,19 +117,7 @@
         snapshotRequestedMillis = reactor.currentTimeMillis() - SNAPSHOT_INTERVAL_MILLIS;
         members = new FleetMembership(self, seeds, random);
         connections = new FleetConnections(reactor, this::handle);
-        server =
-                SimpleServer.builder(
-                                reactor,
-                                socket ->
-                                        accepted.add(
-                                                new FleetConnection(
-                                                        socket,
-                                                        reactor::currentTimeMillis,
-                                                        this::handle,
-                                                        accepted::remove)))
-                        .withListenAddress(Addresses.parse(self.address()))
-                        .withSocketSettings(FleetConnections.SOCKET_SETTINGS)
-                        .build();
+        accepted = new AcceptedConnections(reactor, self.address(), this::handle);
     }
 
     /**
@@ -151,7 +126,7 @@
      * @throws IOException If the address cannot be bound.
      */
     public void listen() throws IOException {
-        server.listen();
+        accepted.listen();
     }
 
     /** Sends a heartbeat which states that this instance accepts no more work. */
@@ -279,24 +254,11 @@
     public void sendHeartbeat(long nowMillis) {
         members.expire(nowMillis);
         connections.closeSilent(nowMillis);
-        closeIdleAccepted(nowMillis);
+        accepted.closeIdle(nowMillis);
         observations.loads().setExpectedPeers(members.size());
         sendHeartbeat(members.nextTargets(storeContact, nowMillis), nowMillis);
     }
 
-    /**
-     * Closes connections of peers that have probably replaced them after they had gone silent.
-     *
-     * @param nowMillis The current time in milliseconds.
-     */
-    private void closeIdleAccepted(long nowMillis) {
-        for (FleetConnection connection : List.copyOf(accepted)) {
-            if (connection.isIdle(nowMillis, ACCEPTED_IDLE_MILLIS)) {
-                connection.close(new IOException("Connection is idle"));
-            }
-        }
-    }
-
     /**
      * Sends a heartbeat.
      *
