Infer the version of a stream from the listing where only one served

ServiceVersions knows which versions of a service were listed over the last 30 s, leaving endpoints included.

--- a/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/fleet/FleetChannel.java
+++ b/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/fleet/FleetChannel.java
@@ -145,6 +145,10 @@
         storeContact = ownContact;
         long nowMillis = reactor.currentTimeMillis();
         role = members.readerRole(ownContact, fleetState.endpointPosition().era(), nowMillis);
+        boolean hasReader = ownContact == StoreContact.FOLLOWING && role != ReaderRole.PRIMARY;
+        if (ownContact == StoreContact.READING || hasReader) {
+            fleetState.recordContact(nowMillis);
+        }
         return role;
     }
 
--- a/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/fleet/FleetState.java
+++ b/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/fleet/FleetState.java
@@ -9,6 +9,7 @@
 import io.chicorytrestle.core.placement.EndpointDirectory;
 import io.chicorytrestle.core.placement.Evacuations;
 import io.chicorytrestle.core.placement.PlacementTopics;
+import io.chicorytrestle.core.placement.ServiceVersions;
 import io.chicorytrestle.core.placement.ServingEndpoint;
 import io.chicorytrestle.core.placement.ServingView;
 import io.chicorytrestle.core.route.RouteTopics;
@@ -42,6 +43,9 @@
     /** Estimates until when endpoints are cold. */
     private final ColdEndpoints coldEndpoints = new ColdEndpoints();
 
+    /** Tracks which versions of each service may have begun a stream lately. */
+    private final ServiceVersions versions = new ServiceVersions();
+
     /** Called with each incarnation that accepts no more requests. */
     private final Consumer<String> unavailableListener;
 
@@ -145,10 +149,11 @@
             long nowMillis) {
         boolean isRestored = position.era() > endpointPosition.era();
         endpointPosition = position;
+        List<ServingEndpoint> listed = versions.complete(endpoints);
         List<EndpointDirectory.Change> changes =
                 isRestored
-                        ? directory.replaceRestored(endpoints, nowMillis)
-                        : directory.replace(endpoints, nowMillis);
+                        ? directory.replaceRestored(listed, nowMillis)
+                        : directory.replace(listed, nowMillis);
         publish(changes, source, nowMillis);
     }
 
@@ -261,7 +266,7 @@
     private List<EndpointDirectory.Change> updateDirectory(
             EndpointChanges changes, long nowMillis) {
         List<EndpointDirectory.Change> newChanges = new ArrayList<>();
-        for (ServingEndpoint endpoint : changes.changed()) {
+        for (ServingEndpoint endpoint : versions.complete(changes.changed())) {
             directory.put(endpoint, nowMillis).ifPresent(newChanges::add);
         }
         for (String id : changes.removed()) {
@@ -326,6 +331,26 @@
         return coldEndpoints;
     }
 
+    /**
+     * Records that the known listing is current, if there is one.
+     *
+     * @param nowMillis The current time in milliseconds.
+     */
+    void recordContact(long nowMillis) {
+        if (hasListed) {
+            versions.recordContact(nowMillis);
+        }
+    }
+
+    /**
+     * Returns the versions of each service.
+     *
+     * @return Tells which version alone can have begun a stream.
+     */
+    public ServiceVersions versions() {
+        return versions;
+    }
+
     /**
      * Accepts a set of evacuated zones unless a newer one is known, and logs each zone for which
      * that changes what this instance does.
@@ -385,6 +410,8 @@
             publishEvacuations(changedZones, RESTORE_SOURCE, nowMillis);
         }
         coldEndpoints.removeExpired(directory.all(), nowMillis);
+        versions.recordListed(directory.all(), nowMillis);
+        versions.removeExpired(nowMillis);
         refreshServingView(nowMillis);
     }
 
@@ -398,6 +425,7 @@
      */
     private void publish(List<EndpointDirectory.Change> changes, String source, long nowMillis) {
         for (EndpointDirectory.Change change : changes) {
+            versions.recordListed(change.endpoint(), nowMillis);
             coldEndpoints.recordListed(change.endpoint().incarnation(), !hasListed, nowMillis);
             LOGGER.atInfo()
                     .with(LogFields.ENDPOINT, change.endpoint().incarnation())
--- a/chicorytrestle-gateway/src/test/java/io/chicorytrestle/gateway/fleet/FleetStateTest.java
+++ b/chicorytrestle-gateway/src/test/java/io/chicorytrestle/gateway/fleet/FleetStateTest.java
@@ -17,6 +17,7 @@
 import io.chicorytrestle.core.route.RoutingTable;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Optional;
 import java.util.Set;
 import org.junit.jupiter.api.Test;
 
@@ -61,6 +62,38 @@
         assertThat(state.endpointPosition(), equalTo(new StorePosition(0, 12)));
     }
 
+    @Test
+    void testApplyFromPeerWhenThePeerOmitsVersions() {
+        ServingEndpoint versioned = FIRST.withVersion("v1");
+        state.replaceFromStore(List.of(versioned), new StorePosition(0, 10), 0);
+        state.applyFromPeer(
+                new EndpointChanges(
+                        "p",
+                        new StorePosition(0, 10),
+                        new StorePosition(0, 12),
+                        List.of(FIRST),
+                        List.of(),
+                        List.of()),
+                1);
+        assertThat(servingEndpoints(), contains(versioned));
+
+        state.applyFromPeer(List.of(FIRST, SECOND), new StorePosition(0, 13), "p", 2);
+        assertThat(servingEndpoints(), contains(versioned, SECOND));
+    }
+
+    @Test
+    void testSoleVersionWhenTheListingWasInTouchForLongEnough() {
+        state.recordContact(0);
+        state.replaceFromStore(List.of(FIRST.withVersion("v1")), new StorePosition(0, 10), 100);
+        for (long nowMillis = 500; nowMillis <= 30_500; nowMillis += 500) {
+            assertThat(state.versions().soleVersion("s", nowMillis), equalTo(Optional.empty()));
+            state.recordContact(nowMillis);
+            state.step(nowMillis);
+        }
+
+        assertThat(state.versions().soleVersion("s", 30_500), equalTo(Optional.of("v1")));
+    }
+
     @Test
     void testApplyFromPeerWhenRevisionsAreMissing() {
         state.replaceFromStore(List.of(FIRST), new StorePosition(0, 10), 0);
