Continue a stream within one response only at the version that began it

Callers got events of two software versions of an endpoint in one response: a stream that broke off was resumed at any other endpoint of the service.

The endpoint of the first event that is forwarded now fixes the version. From then on only endpoints of the same, known version are candidates, before load, reuse and zone; if none is left, or the version is unknown, the response is cut. A response that breaks off before its first event may go anywhere, as before.

--- a/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/exchange/EventSequence.java
+++ b/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/exchange/EventSequence.java
@@ -25,6 +25,9 @@
     /** Whether the current run continues what an earlier one began. */
     private boolean isContinuation;
 
+    /** Whether any run has produced an event. */
+    private boolean hasEvents;
+
     /** Whether the current run has produced no event. */
     private boolean isRunEmpty = true;
 
@@ -95,6 +98,7 @@
             }
             isResuming = false;
         }
+        hasEvents = true;
         isRunEmpty = false;
         isEventDue = false;
         isLastUnnumbered = id.isEmpty();
@@ -179,6 +183,15 @@
         return !isLastUnnumbered;
     }
 
+    /**
+     * Returns {@code true} if any run has produced an event.
+     *
+     * @return {@code true} if an event may be forwarded or was.
+     */
+    boolean hasEvents() {
+        return hasEvents;
+    }
+
     /**
      * Returns why the current run does not continue the stream.
      *
--- a/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/exchange/EventStreamSplitter.java
+++ b/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/exchange/EventStreamSplitter.java
@@ -113,6 +113,15 @@
         return sequence.canResume();
     }
 
+    /**
+     * Returns {@code true} if there was a complete event in any run.
+     *
+     * @return {@code false} if there were at most blank lines, comments and a partial event.
+     */
+    boolean hasEvents() {
+        return sequence.hasEvents();
+    }
+
     /**
      * Returns the number of bytes that follow the last complete event.
      *
--- a/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/exchange/Exchange.java
+++ b/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/exchange/Exchange.java
@@ -13,7 +13,6 @@
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpStatusClass;
 import java.util.HashSet;
-import java.util.List;
 import java.util.Optional;
 import java.util.Set;
 import java.util.function.Predicate;
@@ -56,6 +55,9 @@
     /** The time in milliseconds by which the response must be complete. */
     private final long deadlineMillis;
 
+    /** Which endpoints may continue the stream. */
+    private final StreamVersion streamVersion = new StreamVersion();
+
     /** The incarnations of the endpoints that were chosen so far; none is chosen twice. */
     private final Set<String> triedIncarnations = new HashSet<>();
 
@@ -89,11 +91,7 @@
                 new AttemptTracker(routed.route(), context.budgets().forService(routed.service()));
         completion = new RequestCompletion(context, reporter, attempts, relay);
         this.arrivedMillis = arrivedMillis;
-        deadlineMillis =
-                arrivedMillis
-                        + Math.min(
-                                routed.route().timeoutMillis(),
-                                routed.request().deadlineMillis().orElse(Long.MAX_VALUE));
+        deadlineMillis = routed.deadlineMillis(arrivedMillis);
     }
 
     /** Registers the request, starts its deadline timer and makes the first attempt. */
@@ -123,6 +121,7 @@
                                 routed.prompt(),
                                 endpoint ->
                                         !triedIncarnations.contains(endpoint.incarnation())
+                                                && streamVersion.allows(endpoint)
                                                 && isOpen.test(endpoint),
                                 context.nowMillis());
         if (chosen.isEmpty()) {
@@ -235,7 +234,10 @@
     void onStreamContent(Attempt from, ByteBuf content) {
         if (relay.send(content)) {
             from.progressMonitor().recordProgress();
-            if (!relay.canResume()) {
+            if (relay.hasEvents()) {
+                streamVersion.recordEvent(from.endpoint());
+            }
+            if (!relay.canResume() || !streamVersion.allowsAny()) {
                 attempts.forbidRetries();
             }
         } else if (relay.discontinuity().isPresent()) {
@@ -362,21 +364,15 @@
     }
 
     /**
-     * Refuses a request that has not run. If all endpoints of its service want no requests, that is
-     * the reason, and the caller is told when the first one is open again; so is if all are cold.
+     * Refuses a request that has not run.
      *
-     * @param reason Why the request is refused otherwise.
+     * @param reason Why, unless all endpoints that it could be sent to are backed off or cold.
      */
     private void refuse(RefusalReason reason) {
-        List<ServingEndpoint> endpoints =
-                routed.usable(context.endpoints()).endpointsOf(routed.service());
-        long nowMillis = context.nowMillis();
-        long closedMillis = context.backoffs().millisUntilOpen(endpoints, nowMillis).orElse(0);
-        RefusalReason openReason =
-                context.coldStarts().areAllCold(endpoints, nowMillis) ? RefusalReason.COLD : reason;
         end().refuse(
-                        closedMillis > 0 ? RefusalReason.BACKED_OFF : openReason,
-                        closedMillis,
+                        reason,
+                        streamVersion.allowed(
+                                routed.usable(context.endpoints()).endpointsOf(routed.service())),
                         remainingMillis());
     }
 
--- a/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/exchange/RequestCompletion.java
+++ b/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/exchange/RequestCompletion.java
@@ -1,8 +1,10 @@
 package io.chicorytrestle.gateway.exchange;
 
 import io.chicorytrestle.core.attempt.RefusalReason;
+import io.chicorytrestle.core.placement.ServingEndpoint;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpResponseStatus;
+import java.util.List;
 
 /**
  * Reports the result of a request and sends the end of its response. Exactly one of its methods is
@@ -72,6 +74,26 @@
         Refusals.send(context, relay, reason, closedMillis, remainingMillis);
     }
 
+    /**
+     * Refuses a request that has not run. If all endpoints that it could be sent to want no
+     * requests, that is the reason, and the caller is told when the first one is open again; so is
+     * if all are cold.
+     *
+     * @param reason Why the request is refused otherwise.
+     * @param endpoints The endpoints that it could be sent to, possibly none.
+     * @param remainingMillis The time until the caller's deadline in milliseconds.
+     */
+    void refuse(RefusalReason reason, List<ServingEndpoint> endpoints, long remainingMillis) {
+        long nowMillis = context.nowMillis();
+        long closedMillis = context.backoffs().millisUntilOpen(endpoints, nowMillis).orElse(0);
+        RefusalReason openReason =
+                context.coldStarts().areAllCold(endpoints, nowMillis) ? RefusalReason.COLD : reason;
+        refuse(
+                closedMillis > 0 ? RefusalReason.BACKED_OFF : openReason,
+                closedMillis,
+                remainingMillis);
+    }
+
     /**
      * Sends status 502, which states that the request may have run.
      *
--- a/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/exchange/ResponseRelay.java
+++ b/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/exchange/ResponseRelay.java
@@ -181,6 +181,15 @@
         return isEventStream && splitter.canResume();
     }
 
+    /**
+     * Returns {@code true} if the caller received an event of an event stream.
+     *
+     * @return {@code false} for any other response.
+     */
+    boolean hasEvents() {
+        return isEventStream && splitter.hasEvents();
+    }
+
     /**
      * Returns {@code true} if an event of an event stream is too large to be forwarded.
      *
--- a/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/exchange/RoutedRequest.java
+++ b/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/exchange/RoutedRequest.java
@@ -26,6 +26,18 @@
         RegionRestriction regions,
         RequestCrashHistory crashHistory) {
 
+    /**
+     * Returns the time by which the response must be complete.
+     *
+     * @param arrivedMillis The time of arrival in milliseconds.
+     * @return The time in milliseconds, at which the caller or the route ends the request.
+     */
+    long deadlineMillis(long arrivedMillis) {
+        return arrivedMillis
+                + Math.min(
+                        route.timeoutMillis(), request.deadlineMillis().orElse(Long.MAX_VALUE));
+    }
+
     /**
      * Returns what the request may use of the known endpoints.
      *
