Send a resumed stream only to the version that began it

Callers that took a stream up again got the rest from an endpoint of another software version, with nothing in the response to show it.

A request that resumes one goes to that service and version alone. If the version is not on record, the listing may show that one alone was possible; otherwise the request is refused with 503 before anything is sent (`unknown_stream`), as it is where no endpoint of the version is listed (`version_gone`) or the route no longer leads to the service (`stream_moved`). What other instances began is not known yet.

--- a/chicorytrestle-core/src/main/java/io/chicorytrestle/core/attempt/RefusalReason.java
+++ b/chicorytrestle-core/src/main/java/io/chicorytrestle/core/attempt/RefusalReason.java
@@ -47,6 +47,21 @@
      */
     COLD(250),
 
+    /**
+     * The request resumes a stream, and no reachable instance knows which version began it. An
+     * instance that has just started meets the others within a second.
+     */
+    UNKNOWN_STREAM(300),
+
+    /** The request resumes a stream of a service to which its route no longer leads. */
+    STREAM_MOVED(1_000),
+
+    /**
+     * The request resumes a stream, and no endpoint of the version that began it accepts requests.
+     * Entries that expired reappear within two seconds.
+     */
+    VERSION_GONE(500),
+
     /** The deadline passed before the request was sent. */
     DEADLINE(0),
 
--- a/chicorytrestle-core/src/main/java/io/chicorytrestle/core/route/Route.java
+++ b/chicorytrestle-core/src/main/java/io/chicorytrestle/core/route/Route.java
@@ -1,6 +1,7 @@
 package io.chicorytrestle.core.route;
 
 import java.util.List;
+import java.util.Optional;
 import java.util.Set;
 
 /**
@@ -62,6 +63,25 @@
         return path.startsWith(prefix);
     }
 
+    /**
+     * Returns {@code true} if the route's requests may reach a service.
+     *
+     * @param service The name of the service.
+     * @return {@code true} if the service has a share, whatever its weight.
+     */
+    public boolean leadsTo(String service) {
+        return shares.stream().anyMatch(share -> share.service().equals(service));
+    }
+
+    /**
+     * Returns the service that receives all of the route's requests.
+     *
+     * @return The service, or empty if there are several.
+     */
+    public Optional<String> soleService() {
+        return shares.size() == 1 ? Optional.of(shares.get(0).service()) : Optional.empty();
+    }
+
     /**
      * Selects the service that receives a request, in proportion to the weights.
      *
--- a/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/Gateway.java
+++ b/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/Gateway.java
@@ -21,6 +21,7 @@
 import io.chicorytrestle.gateway.fleet.FleetChannel;
 import io.chicorytrestle.gateway.fleet.FleetState;
 import io.chicorytrestle.gateway.fleet.PeerAddress;
+import io.chicorytrestle.gateway.fleet.PeerStreams;
 import io.chicorytrestle.gateway.fleet.TableCodec;
 import io.chicorytrestle.gateway.front.CallerLimits;
 import io.chicorytrestle.gateway.front.FrontHttpServer;
@@ -171,7 +172,8 @@
                         blackboard,
                         (long) (settings.drainMillis() * VANISHED_ENDPOINT_SHARE),
                         context.endpointConnections()::closeIdle);
-        context.setLeavingEndpoints(new ReportedLeaving());
+        context.setLeavingEndpoints(new LeavingEndpoints.ForFleet(fleetState));
+        context.setStreams(fleetState.versions(), PeerStreams.NoOp.INSTANCE);
         Supplier<RequestLimits> limits = () -> context.table().limits();
         requestHandler = new RequestHandler(context, settings.zoneRegions());
         blackboard.addListener(RouteTopics.ROUTING_TABLE, table -> handleNewState());
@@ -481,18 +483,4 @@
                 || (elapsedMillis >= BALANCER_REMOVAL_MILLIS
                         && callerServer.busyConnections() == 0);
     }
-
-    /** Applies what endpoints state in their responses to the state of the fleet. */
-    private final class ReportedLeaving implements LeavingEndpoints {
-
-        @Override
-        public void markLeaving(String incarnation, long nowMillis) {
-            fleetState.markLeaving(incarnation, "endpoint", nowMillis);
-        }
-
-        @Override
-        public boolean isLeaving(String incarnation) {
-            return fleetState.isLeaving(incarnation);
-        }
-    }
 }
--- a/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/dialect/GatewayRequest.java
+++ b/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/dialect/GatewayRequest.java
@@ -14,6 +14,8 @@
  * @param apiKey The caller's API key, if present.
  * @param prompt The prompt of a model request, if the caller describes it.
  * @param lastEventId The last event that the caller received, if it resumes a stream.
+ * @param resumedId The identifier of the caller's attempt that brought the first event of that
+ *     stream, if stated.
  */
 public record GatewayRequest(
         String id,
@@ -22,7 +24,8 @@
         OptionalLong deadlineMillis,
         Optional<String> apiKey,
         Optional<Prompt> prompt,
-        Optional<String> lastEventId) {
+        Optional<String> lastEventId,
+        Optional<String> resumedId) {
 
     /** Checks the identifier. */
     public GatewayRequest {
--- a/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/exchange/Exchange.java
+++ b/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/exchange/Exchange.java
@@ -6,6 +6,7 @@
 import io.chicorytrestle.core.attempt.RefusalReason;
 import io.chicorytrestle.core.placement.Placement;
 import io.chicorytrestle.core.placement.ServingEndpoint;
+import io.chicorytrestle.core.stream.StreamOrigin;
 import io.chicorytrestle.core.verdict.Verdict;
 import io.chicorytrestle.gateway.front.ResponseSink;
 import io.chicorytrestle.gateway.link.BodyFraming;
@@ -56,7 +57,7 @@
     private final long deadlineMillis;
 
     /** Which endpoints may continue the stream. */
-    private final StreamVersion streamVersion = new StreamVersion();
+    private final StreamVersion streamVersion;
 
     /** The incarnations of the endpoints that were chosen so far; none is chosen twice. */
     private final Set<String> triedIncarnations = new HashSet<>();
@@ -82,6 +83,7 @@
             GatewayContext context, RoutedRequest routed, ResponseSink caller, long arrivedMillis) {
         this.context = context;
         this.routed = routed;
+        streamVersion = new StreamVersion(routed.origin().map(StreamOrigin::version));
         relay = new ResponseRelay(caller);
         if (routed.route().repeatability().allowsResume()) {
             routed.request().lastEventId().ifPresent(relay::resumeAfter);
@@ -234,8 +236,8 @@
     void onStreamContent(Attempt from, ByteBuf content) {
         if (relay.send(content)) {
             from.progressMonitor().recordProgress();
-            if (relay.hasEvents()) {
-                streamVersion.recordEvent(from.endpoint());
+            if (relay.hasEvents() && streamVersion.recordEvent(from.endpoint())) {
+                context.streams().recordBegun(routed, from.endpoint().version());
             }
             if (!relay.canResume() || !streamVersion.allowsAny()) {
                 attempts.forbidRetries();
--- a/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/exchange/GatewayContext.java
+++ b/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/exchange/GatewayContext.java
@@ -16,15 +16,18 @@
 import io.chicorytrestle.core.placement.PlacementSettings;
 import io.chicorytrestle.core.placement.PlacementTopics;
 import io.chicorytrestle.core.placement.PromptPartTracker;
+import io.chicorytrestle.core.placement.ServiceVersions;
 import io.chicorytrestle.core.placement.ServingView;
 import io.chicorytrestle.core.placement.ZoneReachability;
 import io.chicorytrestle.core.poison.CrashTracker;
 import io.chicorytrestle.core.poison.PartCrashTracker;
 import io.chicorytrestle.core.route.RouteTopics;
 import io.chicorytrestle.core.route.RoutingTable;
+import io.chicorytrestle.core.stream.StreamOrigins;
 import io.chicorytrestle.gateway.dialect.HeaderDialect;
 import io.chicorytrestle.gateway.endpoint.EndpointConnectionPool;
 import io.chicorytrestle.gateway.fleet.PeerObservations;
+import io.chicorytrestle.gateway.fleet.PeerStreams;
 import io.chicorytrestle.gateway.link.EventLoopLag;
 import io.chicorytrestle.gateway.operations.GatewayMetrics;
 import io.chicorytrestle.gateway.operations.LogFields;
@@ -93,6 +96,12 @@
     /** Knows which endpoints are leaving. */
     private LeavingEndpoints leavingEndpoints = LeavingEndpoints.NoOp.INSTANCE;
 
+    /** The origins of the streams that callers may resume. */
+    private final StreamOrigins streamOrigins = new StreamOrigins();
+
+    /** Finds the origins of the streams that callers resume. */
+    private StreamTracker streams;
+
     /** Decides which requests may be sent to cold endpoints. */
     private ColdStarts coldStarts = ColdStarts.NoOp.INSTANCE;
 
@@ -130,6 +139,13 @@
         this.blackboard = blackboard;
         this.dialect = dialect;
         this.metrics = metrics;
+        streams =
+                new StreamTracker(
+                        streamOrigins,
+                        new ServiceVersions(),
+                        PeerStreams.NoOp.INSTANCE,
+                        metrics,
+                        this::nowMillis);
         budgets = new RetryBudgets(retryAllowance);
         zoneReachability = new ZoneReachability(placementSettings.zone());
         endpointConnections = new EndpointConnectionPool(reactor, dialect, metrics);
@@ -217,6 +233,25 @@
         return leavingEndpoints;
     }
 
+    /**
+     * Sets what finds the origins of the streams that callers resume.
+     *
+     * @param versions The versions of each service, as listed.
+     * @param peers The other instances.
+     */
+    public void setStreams(ServiceVersions versions, PeerStreams peers) {
+        streams = new StreamTracker(streamOrigins, versions, peers, metrics, this::nowMillis);
+    }
+
+    /**
+     * Returns what finds the origins of the streams that callers resume.
+     *
+     * @return The tracker of streams.
+     */
+    StreamTracker streams() {
+        return streams;
+    }
+
     /**
      * Sets what decides which requests may be sent to cold endpoints.
      *
--- a/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/exchange/LeavingEndpoints.java
+++ b/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/exchange/LeavingEndpoints.java
@@ -1,5 +1,7 @@
 package io.chicorytrestle.gateway.exchange;
 
+import io.chicorytrestle.gateway.fleet.FleetState;
+
 /** Knows which incarnations of endpoints finish their work and accept no more. */
 public interface LeavingEndpoints {
 
@@ -33,4 +35,30 @@
             return false;
         }
     }
+
+    /** Applies what endpoints state in their responses to the state of the fleet. */
+    final class ForFleet implements LeavingEndpoints {
+
+        /** Knows the leaving endpoints. */
+        private final FleetState fleetState;
+
+        /**
+         * Creates an object for the state of one instance.
+         *
+         * @param fleetState Knows the leaving endpoints.
+         */
+        public ForFleet(FleetState fleetState) {
+            this.fleetState = fleetState;
+        }
+
+        @Override
+        public void markLeaving(String incarnation, long nowMillis) {
+            fleetState.markLeaving(incarnation, "endpoint", nowMillis);
+        }
+
+        @Override
+        public boolean isLeaving(String incarnation) {
+            return fleetState.isLeaving(incarnation);
+        }
+    }
 }
--- a/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/exchange/RequestHandler.java
+++ b/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/exchange/RequestHandler.java
@@ -201,6 +201,9 @@
         /** The time of arrival in milliseconds. */
         private final long arrivedMillis;
 
+        /** Whether the caller has disconnected. */
+        private boolean isDisconnected;
+
         /** The exchange, or empty before the request is routed. */
         private Optional<Exchange> exchange = Optional.empty();
 
@@ -306,7 +309,63 @@
                                     regionsByZone,
                                     route.get().allowedRegions(),
                                     workspace.map(Workspace::allowedRegions).orElse(Set.of())),
-                            crashHistory);
+                            crashHistory,
+                            Optional.empty());
+            serve(routed);
+        }
+
+        /**
+         * Starts the exchange of a request that was routed, once it is known where it may go.
+         *
+         * @param routed The request, its route and its service.
+         */
+        private void serve(RoutedRequest routed) {
+            if (routed.isTakeUp()) {
+                takeUp(routed);
+            } else {
+                startExchange(routed);
+            }
+        }
+
+        /**
+         * Starts the exchange of a request that resumes a stream, or refuses it: endpoints do not
+         * check that they continue what their own version began.
+         *
+         * @param routed The request.
+         */
+        private void takeUp(RoutedRequest routed) {
+            long deadlineAtMillis = routed.deadlineMillis(arrivedMillis);
+            context.streams()
+                    .find(
+                            routed,
+                            deadlineAtMillis - context.nowMillis(),
+                            origin -> {
+                                if (isDisconnected) {
+                                    return;
+                                }
+                                boolean isServed =
+                                        origin.isPresent()
+                                                && routed.route().leadsTo(origin.get().service());
+                                if (isServed) {
+                                    startExchange(routed.resuming(origin.get()));
+                                } else {
+                                    refuse(
+                                            request,
+                                            caller,
+                                            origin.isPresent()
+                                                    ? RefusalReason.STREAM_MOVED
+                                                    : RefusalReason.UNKNOWN_STREAM,
+                                            deadlineAtMillis - context.nowMillis());
+                                }
+                            });
+        }
+
+        /**
+         * Starts the exchange.
+         *
+         * @param routed The request, its route and its service.
+         */
+        private void startExchange(RoutedRequest routed) {
             Exchange newExchange = new Exchange(context, routed, caller, arrivedMillis);
             exchange = Optional.of(newExchange);
             newExchange.start();
@@ -314,6 +373,7 @@
 
         /** Drops a held request or cancels the exchange after the caller disconnected. */
         private void onCallerDisconnected() {
+            isDisconnected = true;
             pendingRequests.remove(this);
             starter.remove(this);
             exchange.ifPresent(Exchange::onCallerDisconnected);
--- a/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/exchange/RoutedRequest.java
+++ b/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/exchange/RoutedRequest.java
@@ -5,6 +5,7 @@
 import io.chicorytrestle.core.placement.RegionRestriction;
 import io.chicorytrestle.core.placement.ServingView;
 import io.chicorytrestle.core.route.Route;
+import io.chicorytrestle.core.stream.StreamOrigin;
 import io.chicorytrestle.gateway.dialect.GatewayRequest;
 import java.util.Optional;
 
@@ -17,6 +18,7 @@
  * @param requestBuilder Builds the requests to endpoints.
  * @param regions The regions in which it may be processed.
  * @param crashHistory The crashes of endpoints under the same request content.
+ * @param origin The origin of the stream that it resumes, or empty if it begins one.
  */
 record RoutedRequest(
         GatewayRequest request,
@@ -24,7 +26,34 @@
         String service,
         EndpointRequestBuilder requestBuilder,
         RegionRestriction regions,
-        RequestCrashHistory crashHistory) {
+        RequestCrashHistory crashHistory,
+        Optional<StreamOrigin> origin) {
+
+    /**
+     * Returns {@code true} if the caller resumes a stream, of which it has events.
+     *
+     * @return {@code true} if only endpoints of the version that began the stream may continue it.
+     */
+    boolean isTakeUp() {
+        return route.repeatability().allowsResume() && request.lastEventId().isPresent();
+    }
+
+    /**
+     * Returns the request to the service that began the resumed stream.
+     *
+     * @param found The origin of the stream.
+     * @return The request with its origin.
+     */
+    RoutedRequest resuming(StreamOrigin found) {
+        return new RoutedRequest(
+                request,
+                route,
+                found.service(),
+                requestBuilder,
+                regions,
+                crashHistory,
+                Optional.of(found));
+    }
 
     /**
      * Returns the time by which the response must be complete.
@@ -34,8 +63,7 @@
      */
     long deadlineMillis(long arrivedMillis) {
         return arrivedMillis
-                + Math.min(
-                        route.timeoutMillis(), request.deadlineMillis().orElse(Long.MAX_VALUE));
+                + Math.min(route.timeoutMillis(), request.deadlineMillis().orElse(Long.MAX_VALUE));
     }
 
     /**
@@ -62,9 +90,24 @@
         if (regions.excludesAll(view, service)) {
             return RefusalReason.OUTSIDE_REGIONS;
         }
+        if (origin.isPresent() && !hasVersion(view, origin.get().version())) {
+            return RefusalReason.VERSION_GONE;
+        }
         return hasTried ? RefusalReason.UNREACHABLE : RefusalReason.NO_ENDPOINT;
     }
 
+    /**
+     * Returns {@code true} if an endpoint of a version may be used.
+     *
+     * @param view The known endpoints.
+     * @param version The version.
+     * @return {@code true} if the service has one in an allowed region.
+     */
+    private boolean hasVersion(ServingView view, String version) {
+        return usable(view).endpointsOf(service).stream()
+                .anyMatch(endpoint -> endpoint.version().equals(version));
+    }
+
     /**
      * Returns the prompt whose cached parts decide on the placement.
      *
--- a/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/exchange/StreamVersion.java
+++ b/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/exchange/StreamVersion.java
@@ -11,17 +11,30 @@
 final class StreamVersion {
 
     /** The version that wrote the first event, blank if unknown, or empty before that event. */
-    private Optional<String> version = Optional.empty();
+    private Optional<String> version;
 
     /**
-     * Records that an event was forwarded; the first one decides.
+     * Creates the decision for one response.
+     *
+     * @param resumed The version that wrote the events which the caller already has, or empty if it
+     *     has none.
+     */
+    StreamVersion(Optional<String> resumed) {
+        version = resumed;
+    }
+
+    /**
+     * Records that an event was forwarded; the first one of the stream decides.
      *
      * @param writer The endpoint that wrote it.
+     * @return {@code true} if it is the first event of the stream.
      */
-    void recordEvent(ServingEndpoint writer) {
-        if (version.isEmpty()) {
-            version = Optional.of(writer.version());
+    boolean recordEvent(ServingEndpoint writer) {
+        if (version.isPresent()) {
+            return false;
         }
+        version = Optional.of(writer.version());
+        return true;
     }
 
     /**
--- a/chicorytrestle-gateway/src/test/java/io/chicorytrestle/gateway/fleet/FleetCodecTest.java
+++ b/chicorytrestle-gateway/src/test/java/io/chicorytrestle/gateway/fleet/FleetCodecTest.java
@@ -260,8 +260,7 @@
     }
 
     @Test
-    void testDecodeWhenEndpointChangesAreOfAVersionWithoutVersionsOfEndpoints()
-            throws IOException {
+    void testDecodeWhenEndpointChangesAreOfAVersionWithoutVersionsOfEndpoints() throws IOException {
         EndpointChanges changes =
                 new EndpointChanges(
                         "a",
