Ask for the sole version before the listing was observed for 30 s

The last step of the loop in the new test of FleetStateTest already had 30 s of contact, so that the test failed: it expected no version there and one after it. The loop ends a step sooner; the bound is the same.

--- a/chicorytrestle-gateway/src/test/java/io/chicorytrestle/gateway/fleet/FleetStateTest.java
+++ b/chicorytrestle-gateway/src/test/java/io/chicorytrestle/gateway/fleet/FleetStateTest.java
@@ -85,7 +85,7 @@
     void testSoleVersionWhenTheListingWasInTouchForLongEnough() {
         state.recordContact(0);
         state.replaceFromStore(List.of(FIRST.withVersion("v1")), new StorePosition(0, 10), 100);
-        for (long nowMillis = 500; nowMillis <= 30_500; nowMillis += 500) {
+        for (long nowMillis = 500; nowMillis < 30_500; nowMillis += 500) {
             assertThat(state.versions().soleVersion("s", nowMillis), equalTo(Optional.empty()));
             state.recordContact(nowMillis);
             state.step(nowMillis);
