Read the store's history when no instance knows which version began a stream

An instance that has just started has not observed the listing for as long as a stream lasts.

The changes tell which versions were listed within the history of the store. An entry that was replaced or removed and whose former content is not among the changes is an endpoint of an unknown version of an unknown service, unless it is known to have run all the time. The history counts for nothing if it is shorter than the longest stream, 20 s, or if the store came back from a copy within 30 s.

The time that the history covers is that of the settings.

--- a/chicorytrestle-core/src/main/java/io/chicorytrestle/core/placement/ServiceVersions.java
+++ b/chicorytrestle-core/src/main/java/io/chicorytrestle/core/placement/ServiceVersions.java
@@ -24,6 +24,9 @@
      */
     private static final long MAXIMUM_GAP_MILLIS = 2_500;
 
+    /** The age in milliseconds of the longest stream, which a history has to reach back to. */
+    private static final long LONGEST_STREAM_MILLIS = 20_000;
+
     /** The time in milliseconds at which each version was last listed, by service and version. */
     private final Map<String, Map<String, Long>> listedMillis = new HashMap<>();
 
@@ -36,6 +39,21 @@
     /** The time in milliseconds of the last contact, far in the past before the first one. */
     private long lastContactMillis = Long.MIN_VALUE / 2;
 
+    /** Whether it is known what was listed before that, back to the start of the oldest stream. */
+    private boolean isHistoryKnown;
+
+    /**
+     * The time in milliseconds at which an endpoint of an unknown version and service may last have
+     * been listed, far in the past before the first one.
+     */
+    private long unknownMillis = Long.MIN_VALUE / 2;
+
+    /** The latest era of the store, or zero if none is known. */
+    private long era;
+
+    /** The time in milliseconds at which the era last rose, far in the past if it never did. */
+    private long restoredMillis = Long.MIN_VALUE / 2;
+
     /**
      * Records that the known listing is current: this instance reads it, or hears from one that
      * does.
@@ -45,10 +63,82 @@
     public void recordContact(long nowMillis) {
         if (nowMillis - lastContactMillis > MAXIMUM_GAP_MILLIS) {
             observedSinceMillis = nowMillis;
+            isHistoryKnown = false;
         }
         lastContactMillis = nowMillis;
     }
 
+    /**
+     * Records the era of the store.
+     *
+     * @param storeEra The latest era that is known, or zero if none is.
+     * @param nowMillis The current time in milliseconds.
+     */
+    public void recordEra(long storeEra, long nowMillis) {
+        if (era > 0 && storeEra > era) {
+            restoredMillis = nowMillis;
+        }
+        era = Math.max(era, storeEra);
+    }
+
+    /**
+     * Records what was listed before the listing was observed. The history of a store that came
+     * back from a copy lately counts for nothing, since it lacks changes.
+     *
+     * @param history The history, which reaches to the present.
+     * @param coveredMillis The time in milliseconds for which it reaches back.
+     * @param nowMillis The current time in milliseconds.
+     */
+    public void recordHistory(VersionHistory history, long coveredMillis, long nowMillis) {
+        if (coveredMillis < LONGEST_STREAM_MILLIS || wasRestored(nowMillis)) {
+            return;
+        }
+        recordContact(nowMillis);
+        isHistoryKnown = true;
+        if (history.hasUnknown()) {
+            unknownMillis = nowMillis;
+        }
+        history.versions()
+                .forEach(
+                        (service, listed) ->
+                                listed.forEach(
+                                        version -> recordListed(service, version, nowMillis)));
+    }
+
+    /**
+     * Returns {@code true} if the listing has not been observed for long enough to know which
+     * versions may have begun a stream, so that a history of it is of use.
+     *
+     * @param nowMillis The current time in milliseconds.
+     * @return {@code true} after a start and after a time without contact, until a history is
+     *     recorded or enough time has passed.
+     */
+    public boolean isHistoryOfUse(long nowMillis) {
+        return !isObserved(nowMillis) && !wasRestored(nowMillis);
+    }
+
+    /**
+     * Returns {@code true} if the store came back from a copy lately.
+     *
+     * @param nowMillis The current time in milliseconds.
+     * @return {@code true} if streams may be open that are older than that.
+     */
+    private boolean wasRestored(long nowMillis) {
+        return nowMillis - restoredMillis <= POSSIBLE_MILLIS;
+    }
+
+    /**
+     * Returns {@code true} if all versions that may have begun an open stream are recorded.
+     *
+     * @param nowMillis The current time in milliseconds.
+     * @return {@code true} if the listing is current and was observed for long enough, or its
+     *     history is known.
+     */
+    private boolean isObserved(long nowMillis) {
+        return nowMillis - lastContactMillis <= MAXIMUM_GAP_MILLIS
+                && (isHistoryKnown || nowMillis - observedSinceMillis >= POSSIBLE_MILLIS);
+    }
+
     /**
      * Records the endpoints that are listed now.
      *
@@ -66,15 +156,24 @@
      * @param nowMillis The current time in milliseconds.
      */
     public void recordListed(ServingEndpoint endpoint, long nowMillis) {
-        listedMillis
-                .computeIfAbsent(endpoint.service(), ignored -> new HashMap<>())
-                .put(endpoint.version(), nowMillis);
+        recordListed(endpoint.service(), endpoint.version(), nowMillis);
         // Without a start time, the next run of an endpoint has the same incarnation.
         if (!endpoint.version().isEmpty() && endpoint.startMillis() != 0) {
             incarnations.put(endpoint.incarnation(), new Listed(endpoint, nowMillis));
         }
     }
 
+    /**
+     * Records a version that is listed now, or was until now.
+     *
+     * @param service The name of the service.
+     * @param version The version, or blank if it is unknown.
+     * @param nowMillis The current time in milliseconds.
+     */
+    private void recordListed(String service, String version, long nowMillis) {
+        listedMillis.computeIfAbsent(service, ignored -> new HashMap<>()).put(version, nowMillis);
+    }
+
     /**
      * Adds the versions that were stated for the same incarnations before, since instances of
      * earlier builds omit them.
@@ -103,10 +202,7 @@
      *     has not been observed for long enough.
      */
     public Optional<String> soleVersion(String service, long nowMillis) {
-        boolean isObserved =
-                nowMillis - lastContactMillis <= MAXIMUM_GAP_MILLIS
-                        && nowMillis - observedSinceMillis >= POSSIBLE_MILLIS;
-        if (!isObserved) {
+        if (!isObserved(nowMillis) || nowMillis - unknownMillis <= POSSIBLE_MILLIS) {
             return Optional.empty();
         }
         Map<String, Long> versions = listedMillis.getOrDefault(service, Map.of());
--- a/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/Gateway.java
+++ b/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/Gateway.java
@@ -191,7 +191,7 @@
                         fleetState,
                         context.observations(),
                         codec);
-        context.setStreams(fleetState.versions(), fleet.streams());
+        context.setStreams(fleetState.versions(), fleet.streams(), fleetState::readHistory);
         registerControllers();
         settings.coldStartBound().ifPresent(this::limitColdStarts);
         registerGauges();
--- a/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/exchange/GatewayContext.java
+++ b/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/exchange/GatewayContext.java
@@ -26,6 +26,7 @@
 import io.chicorytrestle.core.stream.StreamOrigins;
 import io.chicorytrestle.gateway.dialect.HeaderDialect;
 import io.chicorytrestle.gateway.endpoint.EndpointConnectionPool;
+import io.chicorytrestle.gateway.fleet.ListingHistory;
 import io.chicorytrestle.gateway.fleet.PeerObservations;
 import io.chicorytrestle.gateway.fleet.PeerStreams;
 import io.chicorytrestle.gateway.link.EventLoopLag;
@@ -144,6 +145,7 @@
                         streamOrigins,
                         new ServiceVersions(),
                         PeerStreams.NoOp.INSTANCE,
+                        ListingHistory.NoOp.INSTANCE,
                         metrics,
                         this::nowMillis);
         budgets = new RetryBudgets(retryAllowance);
@@ -238,9 +240,12 @@
      *
      * @param versions The versions of each service, as listed.
      * @param peers The other instances.
+     * @param history What was listed before this instance observed the listing.
      */
-    public void setStreams(ServiceVersions versions, PeerStreams peers) {
-        streams = new StreamTracker(streamOrigins, versions, peers, metrics, this::nowMillis);
+    public void setStreams(ServiceVersions versions, PeerStreams peers, ListingHistory history) {
+        streams =
+                new StreamTracker(
+                        streamOrigins, versions, peers, history, metrics, this::nowMillis);
     }
 
     /**
--- a/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/exchange/StreamTracker.java
+++ b/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/exchange/StreamTracker.java
@@ -3,6 +3,7 @@
 import io.chicorytrestle.core.placement.ServiceVersions;
 import io.chicorytrestle.core.stream.StreamOrigin;
 import io.chicorytrestle.core.stream.StreamOrigins;
+import io.chicorytrestle.gateway.fleet.ListingHistory;
 import io.chicorytrestle.gateway.fleet.PeerStreams;
 import io.chicorytrestle.gateway.operations.GatewayMetrics;
 import java.util.Optional;
@@ -19,6 +20,9 @@
     /** The longest time in milliseconds to wait for the answers of other instances. */
     private static final long MAXIMUM_WAIT_MILLIS = 150;
 
+    /** The longest time in milliseconds to wait for the history of the listing. */
+    private static final long MAXIMUM_HISTORY_WAIT_MILLIS = 300;
+
     /** The origins that this instance knows. */
     private final StreamOrigins origins;
 
@@ -28,6 +32,9 @@
     /** The other instances. */
     private final PeerStreams peers;
 
+    /** What was listed before this instance observed the listing. */
+    private final ListingHistory history;
+
     /** Counts the streams that callers resume, by where their origins are found. */
     private final GatewayMetrics metrics;
 
@@ -40,6 +47,7 @@
      * @param origins The origins that this instance knows.
      * @param versions The versions of each service, as listed.
      * @param peers The other instances.
+     * @param history What was listed before this instance observed the listing.
      * @param metrics The metrics to which a counter is added.
      * @param clock Supplies the current time in milliseconds.
      */
@@ -47,11 +55,13 @@
             StreamOrigins origins,
             ServiceVersions versions,
             PeerStreams peers,
+            ListingHistory history,
             GatewayMetrics metrics,
             LongSupplier clock) {
         this.origins = origins;
         this.versions = versions;
         this.peers = peers;
+        this.history = history;
         this.metrics = metrics;
         this.clock = clock;
     }
@@ -79,9 +89,10 @@
      */
     void find(
             RoutedRequest routed, long remainingMillis, Consumer<Optional<StreamOrigin>> receiver) {
+        long deadlineMillis = clock.getAsLong() + remainingMillis;
         Optional<String> id = routed.request().resumedId();
         if (id.isEmpty()) {
-            receiver.accept(infer(routed));
+            infer(routed, deadlineMillis, receiver);
             return;
         }
         Optional<StreamOrigin> own = origins.find(id.get(), clock.getAsLong());
@@ -91,14 +102,47 @@
         }
         peers.ask(
                 id.get(),
-                Math.max(0, Math.min(MAXIMUM_WAIT_MILLIS, remainingMillis)),
+                waitMillis(MAXIMUM_WAIT_MILLIS, deadlineMillis),
                 answer -> {
                     answer.ifPresent(origin -> origins.record(id.get(), origin, clock.getAsLong()));
-                    receiver.accept(
-                            answer.isPresent() ? known(answer.get(), "peer") : infer(routed));
+                    if (answer.isPresent()) {
+                        receiver.accept(known(answer.get(), "peer"));
+                    } else {
+                        infer(routed, deadlineMillis, receiver);
+                    }
                 });
     }
 
+    /**
+     * Returns how long to wait for an answer.
+     *
+     * @param longestMillis The longest time in milliseconds.
+     * @param deadlineMillis The time in milliseconds at which the wait must be over.
+     * @return The time in milliseconds.
+     */
+    private long waitMillis(long longestMillis, long deadlineMillis) {
+        return Math.max(0, Math.min(longestMillis, deadlineMillis - clock.getAsLong()));
+    }
+
+    /**
+     * Infers the origin of a stream of which no record is left, after the history of the listing
+     * was read if that is of use.
+     *
+     * @param routed The request that resumes it.
+     * @param deadlineMillis The time in milliseconds at which the request ends.
+     * @param receiver Receives the origin, or empty if it cannot be known.
+     */
+    private void infer(
+            RoutedRequest routed, long deadlineMillis, Consumer<Optional<StreamOrigin>> receiver) {
+        if (versions.isHistoryOfUse(clock.getAsLong())) {
+            history.read(
+                    waitMillis(MAXIMUM_HISTORY_WAIT_MILLIS, deadlineMillis),
+                    () -> receiver.accept(infer(routed)));
+        } else {
+            receiver.accept(infer(routed));
+        }
+    }
+
     /**
      * Returns an origin if endpoints of its version can be found.
      *
--- a/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/fleet/FleetState.java
+++ b/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/fleet/FleetState.java
@@ -46,6 +46,9 @@
     /** Tracks which versions of each service may have begun a stream lately. */
     private final ServiceVersions versions = new ServiceVersions();
 
+    /** Reads what was listed before this instance observed the listing. */
+    private ListingHistory history = ListingHistory.NoOp.INSTANCE;
+
     /** Called with each incarnation that accepts no more requests. */
     private final Consumer<String> unavailableListener;
 
@@ -337,6 +340,7 @@
      * @param nowMillis The current time in milliseconds.
      */
     void recordContact(long nowMillis) {
+        versions.recordEra(storeEra(), nowMillis);
         if (hasListed) {
             versions.recordContact(nowMillis);
         }
@@ -351,6 +355,27 @@
         return versions;
     }
 
+    /**
+     * Sets what reads the history of the listing.
+     *
+     * @param newHistory Records it in {@link #versions}.
+     */
+    public void setHistory(ListingHistory newHistory) {
+        history = newHistory;
+    }
+
+    /**
+     * Reads what was listed before this instance observed the listing, as {@link
+     * ListingHistory#read} does.
+     *
+     * @param timeoutMillis The longest time in milliseconds to wait.
+     * @param receiver Called once, after the history was recorded, or if it could not be read in
+     *     time.
+     */
+    public void readHistory(long timeoutMillis, Runnable receiver) {
+        history.read(timeoutMillis, receiver);
+    }
+
     /**
      * Accepts a set of evacuated zones unless a newer one is known, and logs each zone for which
      * that changes what this instance does.
