Infer no version for a route that was moved lately

Where nobody knows which version began a stream, the instance takes the only one that was listed, of the service to which the route leads now. If the route was moved within the time of a stream, another service may have begun it, and the rest came from a service that had not.

Cause: the inference looked at the routing table of the moment only.

--- a/chicorytrestle-core/src/main/java/io/chicorytrestle/core/route/RoutingTable.java
+++ b/chicorytrestle-core/src/main/java/io/chicorytrestle/core/route/RoutingTable.java
@@ -138,6 +138,15 @@
         return Optional.empty();
     }
 
+    /**
+     * Returns all routes.
+     *
+     * @return The routes in no particular order.
+     */
+    List<Route> routes() {
+        return routesByHost.values().stream().flatMap(List::stream).toList();
+    }
+
     /**
      * Returns a service.
      *
--- a/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/Gateway.java
+++ b/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/Gateway.java
@@ -174,6 +174,7 @@
         context.setLeavingEndpoints(new LeavingEndpoints.ForFleet(fleetState));
         Supplier<RequestLimits> limits = () -> context.table().limits();
         requestHandler = new RequestHandler(context, settings.zoneRegions());
+        blackboard.addListener(RouteTopics.ROUTING_TABLE, context::recordTable);
         blackboard.addListener(RouteTopics.ROUTING_TABLE, table -> handleNewState());
         blackboard.addListener(PlacementTopics.SERVING, view -> handleNewState());
         blackboard.addListener(PlacementTopics.EVACUATIONS, zones -> handleNewState());
--- a/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/exchange/GatewayContext.java
+++ b/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/exchange/GatewayContext.java
@@ -199,6 +199,15 @@
         return blackboard.read(RouteTopics.ROUTING_TABLE);
     }
 
+    /**
+     * Records a routing table that is in force from now on.
+     *
+     * @param table The routing table.
+     */
+    public void recordTable(RoutingTable table) {
+        streams.recordTable(table);
+    }
+
     /**
      * Returns the known endpoints.
      *
--- a/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/exchange/StreamTracker.java
+++ b/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/exchange/StreamTracker.java
@@ -1,6 +1,8 @@
 package io.chicorytrestle.gateway.exchange;
 
 import io.chicorytrestle.core.placement.ServiceVersions;
+import io.chicorytrestle.core.route.RouteHistory;
+import io.chicorytrestle.core.route.RoutingTable;
 import io.chicorytrestle.core.stream.StreamOrigin;
 import io.chicorytrestle.core.stream.StreamOrigins;
 import io.chicorytrestle.gateway.fleet.ListingHistory;
@@ -29,6 +31,9 @@
     /** The versions of each service, as listed. */
     private final ServiceVersions versions;
 
+    /** Which routes were moved to other services lately. */
+    private final RouteHistory routes = new RouteHistory(ServiceVersions.POSSIBLE_MILLIS);
+
     /** The other instances. */
     private final PeerStreams peers;
 
@@ -66,6 +71,15 @@
         this.clock = clock;
     }
 
+    /**
+     * Records a routing table that is in force from now on.
+     *
+     * @param table The routing table.
+     */
+    void recordTable(RoutingTable table) {
+        routes.record(table, clock.getAsLong());
+    }
+
     /**
      * Records that the first event of a stream is forwarded.
      *
@@ -159,13 +173,12 @@
      * Infers the origin of a stream of which no record is left.
      *
      * @param routed The request that resumes it.
-     * @return The origin, if its route leads to one service, of which one version alone can have
-     *     begun the stream.
+     * @return The origin, if its route has led to one service lately, of which one version alone
+     *     can have begun the stream.
      */
     private Optional<StreamOrigin> infer(RoutedRequest routed) {
         Optional<StreamOrigin> inferred =
-                routed.route()
-                        .soleService()
+                routes.soleService(routed.route(), clock.getAsLong())
                         .flatMap(
                                 service ->
                                         versions.soleVersion(service, clock.getAsLong())
