Notice that the store discarded its history sooner than it states

A store may discard its history before its time. The version that had left was then taken for one that never served, and streams were joined after a kill of all instances (200 in place of 503).

An endpoint that is listed, started within the time of the history and was not written in it shows that changes are missing; the history then counts for nothing. The start may be off by 5 s, as far as clocks may differ.

--- a/chicorytrestle-core/src/main/java/io/chicorytrestle/core/placement/ServiceVersions.java
+++ b/chicorytrestle-core/src/main/java/io/chicorytrestle/core/placement/ServiceVersions.java
@@ -83,14 +83,16 @@
 
     /**
      * Records what was listed before the listing was observed. The history of a store that came
-     * back from a copy lately counts for nothing, since it lacks changes.
+     * back from a copy lately counts for nothing, since it lacks changes; neither does one that is
+     * shorter than the longest stream.
      *
      * @param history The history, which reaches to the present.
      * @param coveredMillis The time in milliseconds for which it reaches back.
      * @param nowMillis The current time in milliseconds.
      */
     public void recordHistory(VersionHistory history, long coveredMillis, long nowMillis) {
-        if (coveredMillis < LONGEST_STREAM_MILLIS || wasRestored(nowMillis)) {
+        boolean isShort = coveredMillis < LONGEST_STREAM_MILLIS || history.isIncomplete();
+        if (isShort || wasRestored(nowMillis)) {
             return;
         }
         recordContact(nowMillis);
--- a/chicorytrestle-core/src/main/java/io/chicorytrestle/core/placement/VersionHistory.java
+++ b/chicorytrestle-core/src/main/java/io/chicorytrestle/core/placement/VersionHistory.java
@@ -1,5 +1,6 @@
 package io.chicorytrestle.core.placement;
 
+import java.util.Collection;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.Map;
@@ -22,6 +23,9 @@
     /** The latest start of an endpoint that surely ran at the start of the period. */
     private final long knownStartMillis;
 
+    /** The earliest start of an endpoint that surely did not run at the start of the period. */
+    private final long newStartMillis;
+
     /** Whether no entry was listed at the start of the period. */
     private final boolean isWhole;
 
@@ -34,6 +38,9 @@
     /** The identifiers whose entries at the start of the period are unknown. */
     private final Set<String> unknown = new HashSet<>();
 
+    /** Whether changes of the period are missing. */
+    private boolean isIncomplete;
+
     /**
      * Creates a history without changes.
      *
@@ -42,6 +49,7 @@
      */
     public VersionHistory(long startEpochMillis, boolean isWhole) {
         knownStartMillis = startEpochMillis - MAXIMUM_SKEW_MILLIS;
+        newStartMillis = startEpochMillis + MAXIMUM_SKEW_MILLIS;
         this.isWhole = isWhole;
     }
 
@@ -74,6 +82,30 @@
         }
     }
 
+    /**
+     * Records the endpoints that were listed at the end of the period, after all changes. One that
+     * started within the period without a change shows that changes are missing.
+     *
+     * @param listed The endpoints.
+     */
+    public void recordListed(Collection<ServingEndpoint> listed) {
+        isIncomplete |=
+                listed.stream()
+                        .anyMatch(
+                                endpoint ->
+                                        endpoint.startMillis() >= newStartMillis
+                                                && !seen.contains(endpoint.id()));
+    }
+
+    /**
+     * Returns {@code true} if changes of the period are missing.
+     *
+     * @return {@code true} if the store discarded them sooner than it states.
+     */
+    boolean isIncomplete() {
+        return isIncomplete;
+    }
+
     /**
      * Returns {@code true} if an endpoint of an unknown version and service may have been listed.
      *
--- a/chicorytrestle-core/src/test/java/io/chicorytrestle/core/placement/VersionHistoryTest.java
+++ b/chicorytrestle-core/src/test/java/io/chicorytrestle/core/placement/VersionHistoryTest.java
@@ -3,6 +3,7 @@
 import static org.hamcrest.MatcherAssert.assertThat;
 import static org.hamcrest.Matchers.equalTo;
 
+import java.util.List;
 import java.util.Optional;
 import org.junit.jupiter.api.Test;
 
@@ -130,6 +131,23 @@
         assertThat(soleVersion(), equalTo(Optional.empty()));
     }
 
+    /** An endpoint that started within the period must have been written in it. */
+    @Test
+    void testSoleVersionWhenTheStoreDiscardedChangesSooner() {
+        ServingEndpoint started = endpoint("2", START_EPOCH_MILLIS + 5_000, "v2");
+        versions.recordListed(started, nowMillis);
+        history.recordListed(List.of(started));
+        recordHistory();
+        assertThat(soleVersion(), equalTo(Optional.empty()));
+        assertThat(versions.isHistoryOfUse(nowMillis), equalTo(true));
+
+        history = new VersionHistory(START_EPOCH_MILLIS, false);
+        history.recordWritten(started, true);
+        history.recordListed(List.of(started, endpoint("3", START_EPOCH_MILLIS + 4_999, "v2")));
+        recordHistory();
+        assertThat(soleVersion(), equalTo(Optional.of("v2")));
+    }
+
     @Test
     void testSoleVersionWhenTheListingWasNotObservedAfterTheHistory() {
         versions.recordListed(NEW, nowMillis);
