--- a/chicorytrestle-core/src/main/java/io/chicorytrestle/core/fleet/OldestRevisionSearch.java
+++ b/chicorytrestle-core/src/main/java/io/chicorytrestle/core/fleet/OldestRevisionSearch.java
@@ -8,7 +8,7 @@
 public final class OldestRevisionSearch {
 
     /** The most calls that a search takes. */
-    private static final int MAXIMUM_CALLS = 24;
+    static final int MAXIMUM_CALLS = 24;
 
     /** The distance from the known revision of the first revision before it. */
     private static final long FIRST_DISTANCE = 32;
