--- a/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/Gateway.java
+++ b/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/Gateway.java
@@ -171,9 +171,10 @@
                         blackboard,
                         (long) (settings.drainMillis() * VANISHED_ENDPOINT_SHARE),
                         context.endpointConnections()::closeIdle);
-        context.setLeavingEndpoints(new ReportedLeaving());
+        context.setLeavingEndpoints(new LeavingEndpoints.ForFleet(fleetState));
         Supplier<RequestLimits> limits = () -> context.table().limits();
         requestHandler = new RequestHandler(context, settings.zoneRegions());
+        blackboard.addListener(RouteTopics.ROUTING_TABLE, context::recordTable);
         blackboard.addListener(RouteTopics.ROUTING_TABLE, table -> handleNewState());
         blackboard.addListener(PlacementTopics.SERVING, view -> handleNewState());
         blackboard.addListener(PlacementTopics.EVACUATIONS, zones -> handleNewState());
@@ -191,6 +192,7 @@
                         fleetState,
                         context.observations(),
                         codec);
+        context.setStreams(fleetState.versions(), fleet.streams(), fleetState::readHistory);
         registerControllers();
         settings.coldStartBound().ifPresent(this::limitColdStarts);
         registerGauges();
@@ -481,18 +483,4 @@
                 || (elapsedMillis >= BALANCER_REMOVAL_MILLIS
                         && callerServer.busyConnections() == 0);
     }
-
-    /** Applies what endpoints state in their responses to the state of the fleet. */
-    private final class ReportedLeaving implements LeavingEndpoints {
-
-        @Override
-        public void markLeaving(String incarnation, long nowMillis) {
-            fleetState.markLeaving(incarnation, "endpoint", nowMillis);
-        }
-
-        @Override
-        public boolean isLeaving(String incarnation) {
-            return fleetState.isLeaving(incarnation);
-        }
-    }
 }
--- a/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/exchange/GatewayContext.java
+++ b/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/exchange/GatewayContext.java
@@ -16,15 +16,19 @@
 import io.chicorytrestle.core.placement.PlacementSettings;
 import io.chicorytrestle.core.placement.PlacementTopics;
 import io.chicorytrestle.core.placement.PromptPartTracker;
+import io.chicorytrestle.core.placement.ServiceVersions;
 import io.chicorytrestle.core.placement.ServingView;
 import io.chicorytrestle.core.placement.ZoneReachability;
 import io.chicorytrestle.core.poison.CrashTracker;
 import io.chicorytrestle.core.poison.PartCrashTracker;
 import io.chicorytrestle.core.route.RouteTopics;
 import io.chicorytrestle.core.route.RoutingTable;
+import io.chicorytrestle.core.stream.StreamOrigins;
 import io.chicorytrestle.gateway.dialect.HeaderDialect;
 import io.chicorytrestle.gateway.endpoint.EndpointConnectionPool;
+import io.chicorytrestle.gateway.fleet.ListingHistory;
 import io.chicorytrestle.gateway.fleet.PeerObservations;
+import io.chicorytrestle.gateway.fleet.PeerStreams;
 import io.chicorytrestle.gateway.link.EventLoopLag;
 import io.chicorytrestle.gateway.operations.GatewayMetrics;
 import io.chicorytrestle.gateway.operations.LogFields;
@@ -93,6 +97,12 @@
     /** Knows which endpoints are leaving. */
     private LeavingEndpoints leavingEndpoints = LeavingEndpoints.NoOp.INSTANCE;
 
+    /** The origins of the streams that callers may resume. */
+    private final StreamOrigins streamOrigins = new StreamOrigins();
+
+    /** Finds the origins of the streams that callers resume. */
+    private StreamTracker streams;
+
     /** Decides which requests may be sent to cold endpoints. */
     private ColdStarts coldStarts = ColdStarts.NoOp.INSTANCE;
 
@@ -130,6 +140,14 @@
         this.blackboard = blackboard;
         this.dialect = dialect;
         this.metrics = metrics;
+        streams =
+                new StreamTracker(
+                        streamOrigins,
+                        new ServiceVersions(),
+                        PeerStreams.NoOp.INSTANCE,
+                        ListingHistory.NoOp.INSTANCE,
+                        metrics,
+                        this::nowMillis);
         budgets = new RetryBudgets(retryAllowance);
         zoneReachability = new ZoneReachability(placementSettings.zone());
         endpointConnections = new EndpointConnectionPool(reactor, dialect, metrics);
@@ -181,6 +199,15 @@
         return blackboard.read(RouteTopics.ROUTING_TABLE);
     }
 
+    /**
+     * Records a routing table that is in force from now on.
+     *
+     * @param table The routing table.
+     */
+    public void recordTable(RoutingTable table) {
+        streams.recordTable(table);
+    }
+
     /**
      * Returns the known endpoints.
      *
@@ -217,6 +244,28 @@
         return leavingEndpoints;
     }
 
+    /**
+     * Sets what finds the origins of the streams that callers resume.
+     *
+     * @param versions The versions of each service, as listed.
+     * @param peers The other instances.
+     * @param history What was listed before this instance observed the listing.
+     */
+    public void setStreams(ServiceVersions versions, PeerStreams peers, ListingHistory history) {
+        streams =
+                new StreamTracker(
+                        streamOrigins, versions, peers, history, metrics, this::nowMillis);
+    }
+
+    /**
+     * Returns what finds the origins of the streams that callers resume.
+     *
+     * @return The tracker of streams.
+     */
+    StreamTracker streams() {
+        return streams;
+    }
+
     /**
      * Sets what decides which requests may be sent to cold endpoints.
      *
@@ -396,7 +445,13 @@
      */
     public PeerObservations observations() {
         return new PeerObservations(
-                loads, outcomes, crashes, partCrashes, zoneReachability, promptHolders);
+                loads,
+                outcomes,
+                crashes,
+                partCrashes,
+                zoneReachability,
+                promptHolders,
+                streamOrigins);
     }
 
     /**
--- a/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/fleet/FleetCodec.java
+++ b/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/fleet/FleetCodec.java
@@ -42,6 +42,15 @@
     /** The number that starts a notice of evacuated zones. */
     private static final int EVACUATION_NOTICE = 7;
 
+    /** The number that starts a notice of streams. */
+    private static final int STREAM_NOTICE = 8;
+
+    /** The number that starts a query for a stream. */
+    private static final int STREAM_QUERY = 9;
+
+    /** The number that starts the reply to such a query. */
+    private static final int STREAM_REPLY = 10;
+
     /** Prevents instantiation. */
     private FleetCodec() {}
 
@@ -76,6 +85,16 @@
                 packer.packInt(EVACUATION_NOTICE);
                 packer.packString(notice.sender());
                 EvacuationCodec.pack(packer, notice.evacuations());
+            } else if (message instanceof StreamNotice notice) {
+                packer.packInt(STREAM_NOTICE);
+                StreamCodec.pack(packer, notice);
+            } else if (message instanceof StreamQuery query) {
+                packer.packInt(STREAM_QUERY);
+                packer.packLong(query.number());
+                packer.packString(query.id());
+            } else if (message instanceof StreamReply reply) {
+                packer.packInt(STREAM_REPLY);
+                StreamCodec.pack(packer, reply);
             } else if (message instanceof Acknowledgement) {
                 packer.packInt(ACKNOWLEDGEMENT);
             }
@@ -105,6 +124,10 @@
                 case EVACUATION_NOTICE ->
                         new EvacuationNotice(
                                 unpacker.unpackString(), EvacuationCodec.unpack(unpacker));
+                case STREAM_NOTICE -> StreamCodec.unpackNotice(unpacker);
+                case STREAM_QUERY ->
+                        new StreamQuery(unpacker.unpackLong(), unpacker.unpackString());
+                case STREAM_REPLY -> StreamCodec.unpackReply(unpacker);
                 case ACKNOWLEDGEMENT -> Acknowledgement.INSTANCE;
                 default -> throw new IOException("Unknown kind of message: " + kind);
             };
@@ -158,6 +181,7 @@
         CrashCodec.packRecords(packer, heartbeat.crashes());
         EvacuationCodec.pack(packer, heartbeat.evacuations());
         packer.packLong(heartbeat.endpointPosition().era());
+        packer.packBoolean(heartbeat.isKeepingStreams());
     }
 
     /**
@@ -213,7 +237,8 @@
                 peers,
                 promptReads,
                 partCrashes,
-                evacuations);
+                evacuations,
+                unpacker.hasNext() && unpacker.unpackBoolean());
     }
 
     /**
@@ -328,13 +353,14 @@
         packer.packString(snapshot.sender());
         TableBytes.pack(packer, snapshot.table());
         packer.packLong(snapshot.endpointPosition().revision());
-        pack(packer, snapshot.endpoints());
+        EndpointCodec.pack(packer, snapshot.endpoints());
         CrashCodec.packRecords(packer, snapshot.crashes());
         CrashCodec.packPartRecords(packer, snapshot.partCrashes());
         ColdReportCodec.pack(packer, snapshot.coldReports());
         EvacuationCodec.pack(packer, snapshot.evacuations());
         packer.packLong(snapshot.endpointPosition().era());
         ColdReportCodec.packEras(packer, snapshot.coldReports());
+        EndpointCodec.packVersions(packer, snapshot.endpoints());
     }
 
     /**
@@ -348,7 +374,7 @@
         String sender = unpacker.unpackString();
         ByteBuffer table = TableBytes.unpack(unpacker);
         long endpointRevision = unpacker.unpackLong();
-        List<ServingEndpoint> endpoints = unpackEndpoints(unpacker);
+        List<ServingEndpoint> endpoints = EndpointCodec.unpack(unpacker);
         // Instances of earlier versions end their snapshots here.
         List<CrashNotice> crashes =
                 unpacker.hasNext() ? CrashCodec.unpackRecords(unpacker) : List.of();
@@ -356,14 +382,16 @@
                 unpacker.hasNext() ? CrashCodec.unpackPartRecords(unpacker) : List.of();
         List<ColdReport> coldReports = ColdReportCodec.unpack(unpacker);
         Evacuations evacuations = EvacuationCodec.unpack(unpacker);
+        StorePosition endpointPosition = new StorePosition(unpackEra(unpacker), endpointRevision);
+        coldReports = ColdReportCodec.unpackEras(unpacker, coldReports);
         return new Snapshot(
                 sender,
                 table,
-                new StorePosition(unpackEra(unpacker), endpointRevision),
-                endpoints,
+                endpointPosition,
+                EndpointCodec.unpackVersions(unpacker, endpoints),
                 crashes,
                 partCrashes,
-                ColdReportCodec.unpackEras(unpacker, coldReports),
+                coldReports,
                 evacuations);
     }
 
@@ -394,10 +422,11 @@
         packer.packString(changes.sender());
         packer.packLong(changes.base().revision());
         packer.packLong(changes.position().revision());
-        pack(packer, changes.changed());
+        EndpointCodec.pack(packer, changes.changed());
         packStrings(packer, changes.removed());
         ColdReportCodec.pack(packer, changes.coldReports());
         packer.packLong(changes.position().era());
+        EndpointCodec.packVersions(packer, changes.changed());
     }
 
     /**
@@ -411,7 +440,7 @@
         String sender = unpacker.unpackString();
         long baseRevision = unpacker.unpackLong();
         long revision = unpacker.unpackLong();
-        List<ServingEndpoint> changed = unpackEndpoints(unpacker);
+        List<ServingEndpoint> changed = EndpointCodec.unpack(unpacker);
         List<String> removed = unpackStrings(unpacker);
         List<ColdReport> coldReports = ColdReportCodec.unpack(unpacker);
         long era = unpackEra(unpacker);
@@ -419,53 +448,8 @@
                 sender,
                 new StorePosition(era, baseRevision),
                 new StorePosition(era, revision),
-                changed,
+                EndpointCodec.unpackVersions(unpacker, changed),
                 removed,
                 coldReports.stream().map(report -> ColdReportCodec.inEra(report, era)).toList());
     }
-
-    /**
-     * Writes endpoints, preceded by their number.
-     *
-     * @param packer Receives the fields.
-     * @param endpoints The endpoints.
-     * @throws IOException Never, since the output is memory.
-     */
-    private static void pack(MessageBufferPacker packer, List<ServingEndpoint> endpoints)
-            throws IOException {
-        packer.packArrayHeader(endpoints.size());
-        for (ServingEndpoint endpoint : endpoints) {
-            packer.packString(endpoint.id());
-            packer.packString(endpoint.service());
-            packer.packString(endpoint.address());
-            packer.packString(endpoint.zone());
-            packer.packInt(endpoint.slots());
-            packer.packBoolean(endpoint.isLeaving());
-            packer.packLong(endpoint.startMillis());
-        }
-    }
-
-    /**
-     * Reads endpoints, preceded by their number.
-     *
-     * @param unpacker Supplies the fields.
-     * @return The endpoints.
-     * @throws IOException If the message is malformed.
-     */
-    private static List<ServingEndpoint> unpackEndpoints(MessageUnpacker unpacker)
-            throws IOException {
-        List<ServingEndpoint> endpoints = new ArrayList<>();
-        for (int remaining = unpacker.unpackArrayHeader(); remaining > 0; remaining--) {
-            endpoints.add(
-                    new ServingEndpoint(
-                            unpacker.unpackString(),
-                            unpacker.unpackString(),
-                            unpacker.unpackString(),
-                            unpacker.unpackString(),
-                            unpacker.unpackInt(),
-                            unpacker.unpackBoolean(),
-                            unpacker.unpackLong()));
-        }
-        return endpoints;
-    }
 }
