Treat an endpoint that stays missing after a restore as gone

Cause: an endpoint that a restored store still lacked after 2,000 ms became a last resort for another 1,400 ms. An endpoint that was the only one of its service got requests for 3.4 s after it had gone.

Change: once the time in which its entry could come back has passed, it is gone.

--- a/chicorytrestle-core/src/main/java/io/chicorytrestle/core/placement/EndpointDirectory.java
+++ b/chicorytrestle-core/src/main/java/io/chicorytrestle/core/placement/EndpointDirectory.java
@@ -149,7 +149,8 @@
     }
 
     /**
-     * Removes the endpoints whose entries did not come back after the store had been restored.
+     * Removes the endpoints whose entries did not come back after the store had been restored. They
+     * are no last resorts, since their time to come back has passed.
      *
      * @param nowMillis The current time in milliseconds.
      * @return The changes, possibly none.
@@ -157,7 +158,9 @@
     public List<Change> removeOverdue(long nowMillis) {
         List<Change> changes = new ArrayList<>();
         for (ServingEndpoint endpoint : restored.overdue(nowMillis)) {
-            remove(endpoint.id(), nowMillis).ifPresent(changes::add);
+            restored.takeMissing(endpoint.id());
+            restored.recordRemoved(endpoint.incarnation(), nowMillis);
+            changes.add(new Change(endpoint, ChangeKind.VANISHED));
         }
         return changes;
     }
--- a/chicorytrestle-core/src/test/java/io/chicorytrestle/core/placement/EndpointDirectoryTest.java
+++ b/chicorytrestle-core/src/test/java/io/chicorytrestle/core/placement/EndpointDirectoryTest.java
@@ -148,6 +148,17 @@
         assertThat(directory.removeOverdue(2_101), empty());
     }
 
+    /** Guards against an endpoint that is used for another while once it counts as gone. */
+    @Test
+    void testViewWhenTheOnlyEntryStaysMissing() {
+        directory.replace(List.of(FIRST), 0);
+        directory.replaceRestored(List.of(), 100);
+        assertThat(ready(2_099), contains(FIRST));
+
+        assertThat(directory.removeOverdue(2_100), contains(vanished(FIRST)));
+        assertThat(ready(2_100), empty());
+    }
+
     @Test
     void testViewWhenAMissingEntryComesBack() {
         directory.replace(List.of(FIRST, SECOND), 0);
