--- a/chicorytrestle-core/src/main/java/io/chicorytrestle/core/placement/EndpointDirectory.java
+++ b/chicorytrestle-core/src/main/java/io/chicorytrestle/core/placement/EndpointDirectory.java
@@ -92,10 +92,13 @@
      * listed for some time, since the copy may lack the removal.
      *
      * @param listed The endpoints of all services.
+     * @param sinceMillis The time in milliseconds since which entries may come back.
      * @param nowMillis The current time in milliseconds.
      * @return The changes, empty if no incarnation appeared, began to leave or vanished.
      */
-    public List<Change> replaceRestored(Collection<ServingEndpoint> listed, long nowMillis) {
+    public List<Change> replaceRestored(
+            Collection<ServingEndpoint> listed, long sinceMillis, long nowMillis) {
+        restored.beginEra(sinceMillis);
         return replace(listed, true, nowMillis);
     }
 
@@ -120,16 +123,13 @@
         if (isFirst) {
             joinTimes.clear();
         }
-        if (isLaterEra) {
-            restored.missing().forEach(endpoint -> restored.recordMissing(endpoint, nowMillis));
-        }
         for (ServingEndpoint endpoint : all()) {
             if (ids.contains(endpoint.id())) {
                 continue;
             }
             if (isLaterEra && isUsable(endpoint, nowMillis)) {
                 listedEndpoints.remove(endpoint.id());
-                restored.recordMissing(endpoint, nowMillis);
+                restored.recordMissing(endpoint);
             } else {
                 remove(endpoint.id(), nowMillis).ifPresent(changes::add);
             }
--- a/chicorytrestle-core/src/main/java/io/chicorytrestle/core/placement/RestoredEndpoints.java
+++ b/chicorytrestle-core/src/main/java/io/chicorytrestle/core/placement/RestoredEndpoints.java
@@ -1,6 +1,5 @@
 package io.chicorytrestle.core.placement;
 
-import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -30,7 +29,10 @@
     private static final long REMOVAL_MEMORY_MILLIS = 600_000;
 
     /** The endpoints that a listing of a later era lacks, by identifier. */
-    private final Map<String, MissingEndpoint> missing = new HashMap<>();
+    private final Map<String, ServingEndpoint> missing = new HashMap<>();
+
+    /** The time in milliseconds since which their entries may come back. */
+    private long missingSinceMillis;
 
     /** The incarnations whose entries are gone, and since which time in milliseconds. */
     private final Map<String, Long> removed = new HashMap<>();
@@ -41,14 +43,22 @@
      */
     private final Map<String, Long> unconfirmed = new HashMap<>();
 
+    /**
+     * Begins the time in which missing entries may come back.
+     *
+     * @param sinceMillis The time in milliseconds at which this instance heard of the later era.
+     */
+    void beginEra(long sinceMillis) {
+        missingSinceMillis = sinceMillis;
+    }
+
     /**
      * Records that a listing of a later era lacks an endpoint.
      *
      * @param endpoint The endpoint.
-     * @param nowMillis The current time in milliseconds.
      */
-    void recordMissing(ServingEndpoint endpoint, long nowMillis) {
-        missing.put(endpoint.id(), new MissingEndpoint(endpoint, nowMillis));
+    void recordMissing(ServingEndpoint endpoint) {
+        missing.put(endpoint.id(), endpoint);
     }
 
     /**
@@ -58,7 +68,7 @@
      * @return The endpoint, or empty if it is not missing.
      */
     Optional<ServingEndpoint> takeMissing(String id) {
-        return Optional.ofNullable(missing.remove(id)).map(MissingEndpoint::endpoint);
+        return Optional.ofNullable(missing.remove(id));
     }
 
     /**
@@ -67,7 +77,7 @@
      * @return The endpoints, also those whose time has passed.
      */
     List<ServingEndpoint> missing() {
-        return missing.values().stream().map(MissingEndpoint::endpoint).toList();
+        return List.copyOf(missing.values());
     }
 
     /**
@@ -77,10 +87,7 @@
      * @return The endpoints.
      */
     List<ServingEndpoint> missing(long nowMillis) {
-        return missing.values().stream()
-                .filter(entry -> nowMillis - entry.sinceMillis() < MISSING_MILLIS)
-                .map(MissingEndpoint::endpoint)
-                .toList();
+        return nowMillis - missingSinceMillis < MISSING_MILLIS ? missing() : List.of();
     }
 
     /**
@@ -90,9 +97,7 @@
      * @return The endpoints.
      */
     List<ServingEndpoint> overdue(long nowMillis) {
-        List<ServingEndpoint> overdue = new ArrayList<>(missing());
-        overdue.removeAll(missing(nowMillis));
-        return overdue;
+        return nowMillis - missingSinceMillis < MISSING_MILLIS ? List.of() : missing();
     }
 
     /**
@@ -153,12 +158,4 @@
         unconfirmed.values().removeIf(since -> nowMillis - since >= UNCONFIRMED_MILLIS);
         removed.values().removeIf(since -> nowMillis - since >= REMOVAL_MEMORY_MILLIS);
     }
-
-    /**
-     * Holds an endpoint that a listing of a later era lacks.
-     *
-     * @param endpoint The endpoint.
-     * @param sinceMillis The time of the listing in milliseconds.
-     */
-    private record MissingEndpoint(ServingEndpoint endpoint, long sinceMillis) {}
 }
--- a/chicorytrestle-core/src/test/java/io/chicorytrestle/core/placement/EndpointDirectoryTest.java
+++ b/chicorytrestle-core/src/test/java/io/chicorytrestle/core/placement/EndpointDirectoryTest.java
@@ -139,7 +139,7 @@
     void testViewWhenARestoredStoreLacksAnEntry() {
         directory.replace(List.of(FIRST, SECOND, THIRD), 0);
 
-        assertThat(directory.replaceRestored(List.of(SECOND, THIRD), 100), empty());
+        assertThat(directory.replaceRestored(List.of(SECOND, THIRD), 100, 100), empty());
         assertThat(directory.all(), containsInAnyOrder(SECOND, THIRD));
         assertThat(ready(2_099), contains(FIRST, SECOND, THIRD));
         assertThat(directory.removeOverdue(2_099), empty());
@@ -152,7 +152,7 @@
     @Test
     void testViewWhenTheOnlyEntryStaysMissing() {
         directory.replace(List.of(FIRST), 0);
-        directory.replaceRestored(List.of(), 100);
+        directory.replaceRestored(List.of(), 100, 100);
         assertThat(ready(2_099), contains(FIRST));
 
         assertThat(directory.removeOverdue(2_100), contains(vanished(FIRST)));
@@ -162,7 +162,7 @@
     @Test
     void testViewWhenAMissingEntryComesBack() {
         directory.replace(List.of(FIRST, SECOND), 0);
-        directory.replaceRestored(List.of(SECOND), 100);
+        directory.replaceRestored(List.of(SECOND), 100, 100);
 
         assertThat(directory.put(FIRST, 1_000).isPresent(), equalTo(false));
         assertThat(directory.removeOverdue(2_100), empty());
@@ -173,7 +173,7 @@
     @Test
     void testViewWhenAMissingEndpointLeaves() {
         directory.replace(List.of(FIRST, SECOND), 0);
-        directory.replaceRestored(List.of(SECOND), 100);
+        directory.replaceRestored(List.of(SECOND), 100, 100);
 
         assertThat(directory.markLeaving(FIRST.incarnation(), 200).isPresent(), equalTo(true));
         assertThat(ready(201), contains(SECOND));
@@ -183,7 +183,7 @@
     @Test
     void testViewWhenAMissingEndpointIsRemoved() {
         directory.replace(List.of(FIRST, SECOND), 0);
-        directory.replaceRestored(List.of(SECOND), 100);
+        directory.replaceRestored(List.of(SECOND), 100, 100);
 
         assertThat(directory.remove("1", 200).get(), equalTo(vanished(FIRST)));
         assertThat(ready(201), contains(SECOND));
@@ -192,7 +192,7 @@
     @Test
     void testViewWhenAMissingEndpointRestarts() {
         directory.replace(List.of(FIRST, SECOND), 0);
-        directory.replaceRestored(List.of(SECOND), 100);
+        directory.replaceRestored(List.of(SECOND), 100, 100);
         ServingEndpoint next =
                 new ServingEndpoint("1", Endpoints.SERVICE, FIRST.address(), "a", 64, false, 99);
         directory.put(next, 200);
@@ -203,8 +203,8 @@
     @Test
     void testViewWhenTheStoreIsRestoredTwice() {
         directory.replace(List.of(FIRST, SECOND), 0);
-        directory.replaceRestored(List.of(SECOND), 100);
-        directory.replaceRestored(List.of(SECOND), 1_100);
+        directory.replaceRestored(List.of(SECOND), 100, 100);
+        directory.replaceRestored(List.of(SECOND), 1_100, 1_100);
 
         assertThat(ready(3_099), contains(FIRST, SECOND));
         assertThat(ready(3_100), contains(SECOND));
@@ -215,7 +215,7 @@
         directory.replace(List.of(FIRST.asLeaving(), SECOND), 0);
 
         assertThat(
-                directory.replaceRestored(List.of(SECOND), 100),
+                directory.replaceRestored(List.of(SECOND), 100, 100),
                 contains(vanished(FIRST.asLeaving())));
         assertThat(ready(101), contains(SECOND));
     }
@@ -225,7 +225,7 @@
     void testViewWhenARestoredStoreListsARemovedEndpoint() {
         directory.replace(List.of(FIRST, SECOND), 0);
         directory.remove("1", 100);
-        directory.replaceRestored(List.of(FIRST, SECOND), 200);
+        directory.replaceRestored(List.of(FIRST, SECOND), 200, 200);
         directory.replace(List.of(FIRST, SECOND), 300);
 
         assertThat(directory.all(), containsInAnyOrder(FIRST, SECOND));
@@ -237,7 +237,7 @@
     void testViewWhenARemovedEndpointIsWrittenAfterTheRestore() {
         directory.replace(List.of(FIRST, SECOND), 0);
         directory.remove("1", 100);
-        directory.replaceRestored(List.of(FIRST, SECOND), 200);
+        directory.replaceRestored(List.of(FIRST, SECOND), 200, 200);
         directory.put(FIRST, 300);
 
         assertThat(ready(301), contains(FIRST, SECOND));
@@ -247,7 +247,7 @@
     void testViewWhenARemovedEndpointIsRemovedAgainAfterTheRestore() {
         directory.replace(List.of(FIRST), 0);
         directory.remove("1", 100);
-        directory.replaceRestored(List.of(FIRST), 200);
+        directory.replaceRestored(List.of(FIRST), 200, 200);
         directory.remove("1", 300);
 
         assertThat(ready(301), empty());
@@ -259,7 +259,7 @@
                 new ServingEndpoint("1", Endpoints.SERVICE, FIRST.address(), "a", 64, false, 99);
         directory.replace(List.of(FIRST, SECOND), 0);
         directory.put(next, 100);
-        directory.replaceRestored(List.of(FIRST, SECOND), 200);
+        directory.replaceRestored(List.of(FIRST, SECOND), 200, 200);
 
         assertThat(ready(201), contains(SECOND));
     }
@@ -269,7 +269,7 @@
         directory.replace(List.of(FIRST, SECOND), 0);
         directory.remove("1", 100);
         directory.view(600_100);
-        directory.replaceRestored(List.of(FIRST, SECOND), 600_200);
+        directory.replaceRestored(List.of(FIRST, SECOND), 600_200, 600_200);
 
         assertThat(ready(600_201), contains(FIRST, SECOND));
     }
--- a/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/fleet/FleetChannel.java
+++ b/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/fleet/FleetChannel.java
@@ -396,6 +396,7 @@
                     .recordPeerOutcomes(heartbeat.sender().name(), heartbeat.outcomes(), nowMillis);
         }
         observations.promptParts().recordPeerReads(heartbeat.promptReads(), nowMillis);
+        fleetState.noticeEra(heartbeat.endpointPosition().era(), nowMillis);
         fleetState.acceptEvacuations(heartbeat.evacuations(), heartbeat.sender().name(), nowMillis);
         crashes.record(heartbeat, nowMillis);
         for (String leaving : heartbeat.leaving()) {
--- a/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/fleet/FleetState.java
+++ b/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/fleet/FleetState.java
@@ -51,6 +51,12 @@
     /** The store's position of the newest known change of endpoints. */
     private StorePosition endpointPosition = StorePosition.UNKNOWN;
 
+    /** The latest era of the store that this instance has heard of. */
+    private long noticedEra;
+
+    /** The time in milliseconds at which it first heard of that era. */
+    private long noticedMillis;
+
     /** The encoded form of the current routing table, as it was published. */
     private byte[] publishedTable = new byte[0];
 
@@ -143,11 +149,12 @@
             StorePosition position,
             String source,
             long nowMillis) {
+        noticeEra(position.era(), nowMillis);
         boolean isRestored = position.era() > endpointPosition.era();
         endpointPosition = position;
         List<EndpointDirectory.Change> changes =
                 isRestored
-                        ? directory.replaceRestored(endpoints, nowMillis)
+                        ? directory.replaceRestored(endpoints, noticedMillis, nowMillis)
                         : directory.replace(endpoints, nowMillis);
         publish(changes, source, nowMillis);
     }
@@ -226,6 +233,7 @@
      * @param nowMillis The current time in milliseconds.
      */
     public void applyFromPeer(EndpointChanges changes, long nowMillis) {
+        noticeEra(changes.position().era(), nowMillis);
         recordCold(changes.coldReports(), nowMillis);
         if (!changes.isContiguous(endpointPosition)) {
             keepLeaving(changes.changed(), changes.sender(), nowMillis);
@@ -279,6 +287,20 @@
         return endpointPosition;
     }
 
+    /**
+     * Records that the store is in an era. The time for which what a restored store lacks may still
+     * come back begins when this instance first hears of the era.
+     *
+     * @param era The era.
+     * @param nowMillis The current time in milliseconds.
+     */
+    public void noticeEra(long era, long nowMillis) {
+        if (era > noticedEra) {
+            noticedEra = era;
+            noticedMillis = nowMillis;
+        }
+    }
+
     /**
      * Returns the latest era of the store from which anything is known.
      *
--- a/chicorytrestle-gateway/src/test/java/io/chicorytrestle/gateway/fleet/FleetStateTest.java
+++ b/chicorytrestle-gateway/src/test/java/io/chicorytrestle/gateway/fleet/FleetStateTest.java
@@ -190,6 +190,19 @@
         assertThat(unavailableIncarnations, contains(FIRST.incarnation()));
     }
 
+    /** Guards against instances that use a gone endpoint longer since they hear of it later. */
+    @Test
+    void testStepWhenTheEraWasNoticedBeforeTheEndpoints() {
+        state.replaceFromStore(List.of(FIRST, SECOND), new StorePosition(1, 10), 0);
+        state.noticeEra(2, 100);
+        state.applyFromPeer(List.of(SECOND), new StorePosition(2, 4), "p", 900);
+        state.step(2_099);
+        assertThat(servingEndpoints(), contains(FIRST, SECOND));
+
+        state.step(2_100);
+        assertThat(servingEndpoints(), contains(SECOND));
+    }
+
     @Test
     void testReplaceFromStoreWhenARemovedEndpointIsListedAfterTheStoreWasRestored() {
         state.replaceFromStore(List.of(FIRST, SECOND), new StorePosition(1, 10), 0);
