--- a/chicorytrestle-core/src/main/java/io/chicorytrestle/core/fleet/StorePosition.java
+++ b/chicorytrestle-core/src/main/java/io/chicorytrestle/core/fleet/StorePosition.java
@@ -58,4 +58,9 @@
     public StorePosition withRevision(long otherRevision) {
         return new StorePosition(era, otherRevision);
     }
+
+    @Override
+    public String toString() {
+        return "revision " + revision + " of era " + era;
+    }
 }
--- a/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/fleet/FleetState.java
+++ b/chicorytrestle-gateway/src/main/java/io/chicorytrestle/gateway/fleet/FleetState.java
@@ -136,7 +136,7 @@
             keepLeaving(endpoints, "store", nowMillis);
             LOGGER.atInfo()
                     .with(LogFields.VERSION, position.revision())
-                    .with(LogFields.REASON, describe(endpointPosition) + " is known")
+                    .with(LogFields.REASON, endpointPosition + " is known")
                     .log("endpoint_list_overtaken");
             return;
         }
@@ -167,16 +167,6 @@
         publish(changes, source, nowMillis);
     }
 
-    /**
-     * Returns the text with which a position is logged.
-     *
-     * @param position The position.
-     * @return The revision and the era.
-     */
-    private static String describe(StorePosition position) {
-        return "revision " + position.revision() + " of era " + position.era();
-    }
-
     /**
      * Marks an incarnation as leaving, so that it gets no more requests.
      *
