List what the review showed and is not mended

The cause is that an entry carries no sign by which one of the copy differs from one that was written since.

--- a/chicorytrestle-core/src/test/java/io/chicorytrestle/core/placement/EndpointDirectoryTest.java
+++ b/chicorytrestle-core/src/test/java/io/chicorytrestle/core/placement/EndpointDirectoryTest.java
@@ -8,6 +8,7 @@
 import static org.hamcrest.Matchers.hasItem;
 
 import java.util.List;
+import org.junit.jupiter.api.Tag;
 import org.junit.jupiter.api.Test;
 
 class EndpointDirectoryTest {
@@ -264,6 +265,30 @@
         assertThat(ready(201), contains(SECOND));
     }
 
+    /** Guards against a service without endpoints while live ones are held back. */
+    @Test
+    @Tag("known-red")
+    void testViewWhenAllEndpointsHadLapsedBeforeTheRestore() {
+        directory.replace(List.of(FIRST, SECOND), 0);
+        directory.remove("1", 100);
+        directory.remove("2", 100);
+        directory.replaceRestored(List.of(FIRST, SECOND), 200, 200);
+
+        assertThat(ready(201), contains(FIRST, SECOND));
+    }
+
+    @Test
+    @Tag("known-red")
+    void testViewWhenTheCopyListsAnEarlierIncarnation() {
+        ServingEndpoint live =
+                new ServingEndpoint("1", Endpoints.SERVICE, FIRST.address(), "a", 64, false, 99);
+        directory.replace(List.of(FIRST, SECOND), 0);
+        directory.put(live, 100);
+        directory.replaceRestored(List.of(FIRST, SECOND), 200, 200);
+
+        assertThat(ready(201), contains(live, SECOND));
+    }
+
     @Test
     void testViewWhenARemovalIsLongPast() {
         directory.replace(List.of(FIRST, SECOND), 0);
